--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := packages/core packages/node packages/cli packages/standins
+SOURCES := packages tests
+
+.PHONY: demo test lint measure measure-full format clean
+
+$(VENV)/.ready: requirements.txt $(PACKAGES:%=%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(PACKAGES:%=-e %)
+	touch $@
+
+demo: $(VENV)/.ready
+	$(BIN)/python -m kumquathold_standins.demo
+
+test: $(VENV)/.ready
+	$(BIN)/python -m unittest discover --start-directory tests --top-level-directory .
+
+lint: $(VENV)/.ready
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+	$(BIN)/mypy
+
+format: $(VENV)/.ready
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
+
+measure: $(VENV)/.ready
+	$(BIN)/python -m kumquathold_standins.measure
+
+measure-full: $(VENV)/.ready
+	$(BIN)/python -m kumquathold_standins.measure --full
+
+clean:
+	rm -rf $(VENV) out
--- /dev/null
+++ b/packages/cli/src/kumquathold_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/core/src/kumquathold_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions and messages of kumquathold, without sockets or clocks."""
--- /dev/null
+++ b/packages/core/src/kumquathold_core/gossip.py
@@ -0,0 +1,131 @@
+"""Messages of membership between nodes."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from kumquathold_core.identity import NodeRecord
+
+
+class Health(enum.IntEnum):
+    """What the fleet believes of a node; the higher wins at one version."""
+
+    alive = 0
+    suspect = 1
+    dead = 2
+
+
+class Rumour(msgspec.Struct, frozen=True, array_like=True):
+    """A node's record and what is believed of it."""
+
+    record: NodeRecord
+    """What the node said of itself."""
+
+    health: Health
+    """What its peers say of it."""
+
+
+class Freshness(msgspec.Struct, frozen=True, array_like=True):
+    """How sure a node is that its configuration is the latest."""
+
+    version: int
+    """The configuration that the node has in force."""
+
+    proof_age: float
+    """Seconds since the question whose answer proved it the latest."""
+
+    outage_age: float
+    """Seconds since the node's own failed call to the platform."""
+
+
+class PingSent(msgspec.Struct, frozen=True, array_like=True, tag='ping'):
+    """A heartbeat."""
+
+    number: int
+    """Matches the answer to the question."""
+
+    on_behalf_of: str
+    """Address of the node that asked for this heartbeat, or empty."""
+
+    origin_number: int
+    """The number that node gave its own heartbeat."""
+
+    table_digest: int
+    """Digest of the sender's member table."""
+
+    freshness: Freshness
+    """The sender's configuration."""
+
+    rumours: tuple[Rumour, ...]
+    """Changes of membership."""
+
+
+class PongSent(msgspec.Struct, frozen=True, array_like=True, tag='pong'):
+    """The answer to a heartbeat."""
+
+    number: int
+    """From the heartbeat."""
+
+    on_behalf_of: str
+    """From the heartbeat."""
+
+    origin_number: int
+    """From the heartbeat."""
+
+    clock: float
+    """The answering node's monotonic clock, in seconds."""
+
+    table_digest: int
+    """Digest of the sender's member table."""
+
+    freshness: Freshness
+    """The sender's configuration."""
+
+    rumours: tuple[Rumour, ...]
+    """Changes of membership."""
+
+
+class IndirectPingAsked(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='indirect',
+):
+    """A node asks another to try a third that does not answer it."""
+
+    number: int
+    """The asker's number of the unanswered heartbeat."""
+
+    subject: str
+    """Address of the node that does not answer."""
+
+
+class IndirectPongSent(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag='indirect-pong',
+):
+    """The third node did answer."""
+
+    number: int
+    """The asker's number of the unanswered heartbeat."""
+
+    subject: str
+    """Address of the node that answered."""
+
+
+class TableAsked(msgspec.Struct, frozen=True, array_like=True, tag='table-ask'):
+    """A node that joins or whose table differs asks for the whole table."""
+
+    rumours: tuple[Rumour, ...]
+    """The asker's own record at least."""
+
+
+class TableSent(msgspec.Struct, frozen=True, array_like=True, tag='table'):
+    """A part of a member table."""
+
+    rumours: tuple[Rumour, ...]
+    """At most a few dozen records."""
--- /dev/null
+++ b/packages/core/src/kumquathold_core/members.py
@@ -0,0 +1,193 @@
+"""The member table of a node: who is there, and what is believed of each.
+
+Pure: the time is passed in. Tables merge like this: the higher incarnation
+wins, then the higher version, then the worse health. A node that hears itself
+called suspect or dead raises its own version, which overrules the rumour.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+
+import msgspec
+
+from kumquathold_core.gossip import Health, Rumour
+from kumquathold_core.identity import NodeRecord
+
+SUSPICION_SECONDS = 2.0
+DEAD_KEPT_SECONDS = 600.0
+RETRANSMIT_FACTOR = 4
+MAX_RUMOURS = 8
+
+
+class Member(msgspec.Struct):
+    """A peer in the table."""
+
+    record: NodeRecord
+    """What it says of itself."""
+
+    health: Health
+    """What is believed of it."""
+
+    since: float
+    """When that belief began, in seconds of the monotonic clock."""
+
+
+def is_newer(new: Rumour, known: Member) -> bool:
+    """Whether a rumour overrules what the table holds."""
+    held = (known.record.incarnation, known.record.version, known.health)
+    told = (new.record.incarnation, new.record.version, new.health)
+    return told > held
+
+
+class MemberTable:
+    """Every node that this one has heard of, itself included."""
+
+    def __init__(self, own: NodeRecord, now: float) -> None:
+        """Start with the own record only."""
+        self.own = own
+        self.members = {own.address: Member(own, Health.alive, now)}
+        self.pending: dict[str, int] = {own.address: 0}
+        self.changes = 0
+        self.cached_digest: int | None = None
+
+    @property
+    def digest(self) -> int:
+        """Equal for equal tables, whatever the order of arrival."""
+        if self.cached_digest is None:
+            total = 0
+            for member in self.members.values():
+                total ^= _hash_member(member)
+            self.cached_digest = total
+        return self.cached_digest
+
+    def living(self) -> list[NodeRecord]:
+        """Records of all nodes that are not believed dead."""
+        return [
+            member.record
+            for member in self.members.values()
+            if member.health != Health.dead
+        ]
+
+    def suspects(self) -> list[str]:
+        """Addresses of the nodes that are suspected now."""
+        return [
+            address
+            for address, member in self.members.items()
+            if member.health == Health.suspect
+        ]
+
+    def peers(self) -> list[str]:
+        """Addresses of the other nodes that are not believed dead."""
+        return [
+            record.address
+            for record in self.living()
+            if record.address != self.own.address
+        ]
+
+    def update_own(self, now: float, **changes: object) -> None:
+        """Change the own record and have it told."""
+        self.own = msgspec.structs.replace(
+            self.own,
+            version=self.own.version + 1,
+            **changes,
+        )
+        self._put(Member(self.own, Health.alive, now))
+
+    def merge(self, rumour: Rumour, now: float) -> bool:
+        """Take in a rumour; true where it changed the table."""
+        address = rumour.record.address
+        if address == self.own.address:
+            return self._merge_own(rumour, now)
+        known = self.members.get(address)
+        if known is not None and not is_newer(rumour, known):
+            return False
+        self._put(Member(rumour.record, rumour.health, now))
+        return True
+
+    def suspect(self, address: str, now: float) -> bool:
+        """Note that a node does not answer; true where that is new."""
+        member = self.members.get(address)
+        if member is None or member.health != Health.alive:
+            return False
+        self._put(Member(member.record, Health.suspect, now))
+        return True
+
+    def expire(self, now: float) -> list[NodeRecord]:
+        """Declare long-suspected nodes dead, and name them."""
+        died = []
+        for address, member in list(self.members.items()):
+            age = now - member.since
+            if member.health == Health.suspect and age >= SUSPICION_SECONDS:
+                self._put(Member(member.record, Health.dead, now))
+                died.append(member.record)
+            elif member.health == Health.dead and age >= DEAD_KEPT_SECONDS:
+                self.members.pop(address)
+                self.pending.pop(address, None)
+                self.cached_digest = None
+        return died
+
+    def take_rumours(self) -> tuple[Rumour, ...]:
+        """The changes that were told least often, to ride on a message."""
+        times = RETRANSMIT_FACTOR * math.ceil(
+            math.log2(len(self.members) + 1),
+        )
+        chosen = sorted(self.pending, key=self.pending.__getitem__)
+        chosen = chosen[:MAX_RUMOURS]
+        for address in chosen:
+            self.pending[address] += 1
+            if self.pending[address] >= times:
+                self.pending.pop(address)
+        return tuple(self.rumour_of(address) for address in chosen)
+
+    def rumour_of(self, address: str) -> Rumour:
+        """What this table would tell of a node."""
+        member = self.members[address]
+        return Rumour(record=member.record, health=member.health)
+
+    def all_rumours(self) -> list[Rumour]:
+        """The whole table."""
+        return [self.rumour_of(address) for address in self.members]
+
+    def _merge_own(self, rumour: Rumour, now: float) -> bool:
+        told = rumour.record
+        is_other_life = told.incarnation > self.own.incarnation
+        if is_other_life or told.incarnation < self.own.incarnation:
+            return False
+        is_wrong = rumour.health != Health.alive
+        if is_wrong and told.version >= self.own.version:
+            self.own = msgspec.structs.replace(
+                self.own,
+                version=told.version,
+            )
+            self.update_own(now)
+            return True
+        return False
+
+    def _put(self, member: Member) -> None:
+        address = member.record.address
+        self.members[address] = member
+        self.pending[address] = 0
+        self.changes += 1
+        self.cached_digest = None
+
+
+def _hash_member(member: Member) -> int:
+    record = member.record
+    state = (
+        f'{record.address} {record.incarnation} {record.version} '
+        f'{member.health.value}'
+    )
+    digest = hashlib.blake2b(state.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, 'big')
+
+
+def rank_nodes(nodes: list[NodeRecord], purpose: str) -> list[NodeRecord]:
+    """Order nodes by rendezvous hashing, the same in every table."""
+
+    def weight(node: NodeRecord) -> bytes:
+        text = f'{purpose} {node.address}'
+        return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+    return sorted(nodes, key=weight)
--- /dev/null
+++ b/packages/core/src/kumquathold_core/retries.py
@@ -0,0 +1,107 @@
+"""Decides whether a request that got no answer is sent again.
+
+Pure. Sent again is only what is proved not run, or what does no harm by
+running twice, or what a claim keeps from running twice; and only within a
+budget of one retry for ten requests.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from kumquathold_core.crashes import MAX_CRASHES
+from kumquathold_core.work import Outcome, Refusal
+
+BUDGET_PER_REQUEST = 0.1
+BUDGET_MAX = 10.0
+MAX_ATTEMPTS = 4
+
+FINAL = frozenset(
+    (
+        Refusal.cancelled,
+        Refusal.deadline_passed,
+        Refusal.key_unknown,
+        Refusal.crashes_upstreams,
+        Refusal.idempotency_key_reused,
+        Refusal.in_progress,
+        Refusal.outcome_unknown,
+        Refusal.settled,
+        Refusal.answer_not_kept,
+        Refusal.store_unavailable,
+    )
+)
+"""Refusals that no other upstream would decide differently."""
+
+
+class RetryBudget:
+    """Tokens for retries, earned by first sendings."""
+
+    __slots__ = ('tokens',)
+
+    def __init__(self) -> None:
+        """Start with enough for a node's first mishaps."""
+        self.tokens = BUDGET_MAX
+
+    def earn(self) -> None:
+        """Count a first sending."""
+        self.tokens = min(self.tokens + BUDGET_PER_REQUEST, BUDGET_MAX)
+
+    def spend(self) -> bool:
+        """Take a retry out of the budget; false where it is spent."""
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+class Failure(msgspec.Struct, frozen=True):
+    """How one sending ended."""
+
+    outcome: Outcome
+    """Whether it ran."""
+
+    reason: Refusal
+    """Why there is no answer."""
+
+    crashed: bool = False
+    """Whether it took the upstream down."""
+
+    retry_after: float = 0.0
+    """Seconds after which trying again makes sense."""
+
+
+def is_repeatable(failure: Failure, *, idempotent: bool, claimed: bool) -> bool:
+    """Whether sending again can do no harm."""
+    if failure.reason in FINAL:
+        return False
+    return failure.outcome == Outcome.not_run or idempotent or claimed
+
+
+def may_retry(
+    failure: Failure,
+    *,
+    idempotent: bool,
+    claimed: bool,
+    attempts: int,
+    crashed: int,
+) -> bool:
+    """Whether to send again, the budget aside.
+
+    `attempts` counts the sendings so far, `crashed` those among them that
+    took an upstream down.
+    """
+    if attempts >= MAX_ATTEMPTS or crashed >= MAX_CRASHES:
+        return False
+    return is_repeatable(failure, idempotent=idempotent, claimed=claimed)
+
+
+def combine_outcomes(sendings: list[Outcome]) -> Outcome:
+    """What is known of a request after all its sendings.
+
+    It has not run only where no sending ran.
+    """
+    if all(one == Outcome.not_run for one in sendings):
+        return Outcome.not_run
+    if any(one == Outcome.ran for one in sendings):
+        return Outcome.ran
+    return Outcome.unknown
--- /dev/null
+++ b/packages/core/src/kumquathold_core/rules.py
@@ -0,0 +1,154 @@
+"""The operators' rules: services, routes, workspaces and keys.
+
+`parse_rules` reads the plain text file, one rule a line. Each line ends in a
+comment that names who asked for it:
+
+    service holds floor=50%               # asked by Batbayar
+    route POST /holds service=holds once  # asked by Batbayar
+"""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+import hmac
+
+import msgspec
+
+DEFAULT_DEADLINE_SECONDS = 10.0
+DEFAULT_BODY_BYTES = 8_388_608
+
+
+class Stale(enum.StrEnum):
+    """What a keyed route does while no proof of freshness is to be had."""
+
+    refuse = 'refuse'
+    serve = 'serve'
+
+
+class ZoneChoice(enum.StrEnum):
+    """How far from the ingress a service's upstreams may be."""
+
+    any = 'any'
+    region = 'region'
+    zone = 'zone'
+
+
+class Service(msgspec.Struct, frozen=True):
+    """A group of interchangeable upstreams."""
+
+    name: str
+    """Unique name."""
+
+    floor: float = 0.5
+    """Share of the slots that ejection leaves in rotation, 0 to 1."""
+
+    zones: ZoneChoice = ZoneChoice.any
+    """How far requests may travel."""
+
+
+class Route(msgspec.Struct, frozen=True):
+    """Which requests go to which service, and how."""
+
+    method: str
+    """HTTP method, or `*` for all."""
+
+    path: str
+    """Exact path, or a prefix that ends in `*`."""
+
+    service: str
+    """Name of the service."""
+
+    public: bool = False
+    """Whether it is open to callers without a key."""
+
+    idempotent: bool = False
+    """Whether a second run does no harm."""
+
+    once: bool = False
+    """Whether callers must send an Idempotency-Key."""
+
+    deadline: float = DEFAULT_DEADLINE_SECONDS
+    """Seconds from the request's arrival to its answer."""
+
+    body_limit: int = DEFAULT_BODY_BYTES
+    """Largest request body, in bytes."""
+
+    stale: Stale = Stale.refuse
+    """What to do while no proof of freshness is to be had."""
+
+    @property
+    def name(self) -> str:
+        """The route's stable name: method and path."""
+        return f'{self.method} {self.path}'
+
+
+class Workspace(msgspec.Struct, frozen=True):
+    """A tenant."""
+
+    name: str
+    """Unique name."""
+
+    rate: float
+    """Requests a second over the whole fleet."""
+
+    burst: int
+    """Requests at once over the whole fleet."""
+
+    weight: int = 1
+    """Share of an upstream's turns while requests queue."""
+
+
+class Key(msgspec.Struct, frozen=True):
+    """A caller's credential, known by digest only."""
+
+    id: str
+    """The part of the key before the secret."""
+
+    workspace: str
+    """Name of the workspace that the key speaks for."""
+
+    digest: bytes
+    """SHA-256 of the whole key."""
+
+
+class Rules(msgspec.Struct, frozen=True):
+    """Everything that one accepted configuration says."""
+
+    services: dict[str, Service]
+    """By name."""
+
+    routes: tuple[Route, ...]
+    """In the order of the file."""
+
+    workspaces: dict[str, Workspace]
+    """By name."""
+
+    keys: dict[str, Key]
+    """By id."""
+
+
+EMPTY_RULES = Rules(services={}, routes=(), workspaces={}, keys={})
+KEY_PREFIX = 'kq'
+
+
+def digest_key(key: str) -> bytes:
+    """The digest under which a key is kept; keys are random, so no salt."""
+    return hashlib.sha256(key.encode()).digest()
+
+
+def key_id_of(key: str) -> str | None:
+    """The id inside a key `kq_ID_SECRET`, or nothing for other text."""
+    parts = key.split('_')
+    if len(parts) != 3 or parts[0] != KEY_PREFIX or not all(parts):
+        return None
+    return parts[1]
+
+
+def authenticate_key(rules: Rules, key: str) -> Key | None:
+    """The known key that a caller presented, compared in constant time."""
+    key_id = key_id_of(key)
+    known = rules.keys.get(key_id) if key_id else None
+    expected = known.digest if known else bytes(hashlib.sha256().digest_size)
+    is_equal = hmac.compare_digest(digest_key(key), expected)
+    return known if is_equal else None
--- /dev/null
+++ b/packages/node/src/kumquathold_node/__init__.py
@@ -0,0 +1,1 @@
+"""The process that stands beside the upstreams of one VM."""
--- /dev/null
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -0,0 +1,308 @@
+"""What an ingress knows of the upstreams, and its choices among them.
+
+Callers' threads share this state under one lock; each call holds it for
+microseconds. The decisions themselves are in the core package.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+from time import monotonic
+from typing import TYPE_CHECKING
+
+import msgspec
+from kumquathold_core import balancing
+from kumquathold_core.balancing import Candidate, Load
+from kumquathold_core.ejection import Evidence
+from kumquathold_core.work import Refusal
+
+from kumquathold_node.kernel import Kernel
+from kumquathold_node.membership import FleetView, Membership
+from kumquathold_node.metrics import Metrics
+from kumquathold_node.settings import Settings
+
+if TYPE_CHECKING:
+    from kumquathold_core.rules import Service
+
+LATENCY_GAIN = 0.2
+SHUNNED_SECONDS = 3.0
+AVOIDED_PATH_SECONDS = 2.0
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """The upstream for one sending."""
+
+    candidate: Candidate
+    """Which upstream, beside which owner."""
+
+    is_trial: bool
+    """Whether it is ejected, and the request tries it."""
+
+    slow_limit: float
+    """Seconds above which its answer counts as bad."""
+
+
+class ServiceView(msgspec.Struct, frozen=True):
+    """The upstreams of one service that may get work."""
+
+    candidates: tuple[Candidate, ...]
+    """Ready and not leaving."""
+
+    slots: dict[str, int]
+    """Their slots, by name."""
+
+
+class Balancer:
+    """Chooses upstreams for this node's ingress."""
+
+    def __init__(self, kernel: Kernel, settings: Settings) -> None:
+        """Find the services that are needed, and register."""
+        self.membership: Membership = kernel.find('membership')
+        self.metrics: Metrics = kernel.find('metrics')
+        self.zone = settings.zone
+        self.region = settings.region
+        self.lock = threading.Lock()
+        self.rng = random.Random(settings.peer)
+        self.loads: dict[str, Load] = {}
+        self.evidence: dict[str, Evidence] = {}
+        self.out: dict[str, set[str]] = {}
+        self.shunned: dict[str, float] = {}
+        self.avoided: dict[str, float] = {}
+        self.services: dict[str, ServiceView] = {}
+        self.seen_view = -1
+        kernel.register('balancer', self)
+
+    def choose(
+        self,
+        service: Service,
+        tried: set[str],
+        *,
+        idempotent: bool,
+        route: str,
+    ) -> Choice | None:
+        """Pick an upstream that the request was not sent to before."""
+        now = monotonic()
+        with self.lock:
+            self._follow(self.membership.view)
+            view = self.services.get(service.name)
+            if view is None:
+                return None
+            evidence = self._evidence(service.name)
+            out = evidence.settle(view.slots, service.floor, now)
+            self._report_changes(service.name, out)
+            trial = evidence.take_trial(out, now) if idempotent else None
+            usable = self._usable(view, out - {trial or ''}, tried, now)
+            chosen = self._choose_among(usable, service, trial)
+            if chosen is None:
+                return None
+            load = self.loads.setdefault(chosen.upstream, Load())
+            load.in_flight += 1
+            return Choice(
+                candidate=chosen,
+                is_trial=chosen.upstream in out,
+                slow_limit=evidence.slow_limit(route, chosen.upstream),
+            )
+
+    def finish(self, choice: Choice) -> None:
+        """Count a sending as over."""
+        with self.lock:
+            load = self.loads.get(choice.candidate.upstream)
+            if load is not None:
+                load.in_flight -= 1
+
+    def note_answer(
+        self,
+        service: Service,
+        route: str,
+        choice: Choice,
+        *,
+        seconds: float,
+        in_use: int,
+        failed: bool,
+        counted: bool,
+    ) -> None:
+        """Take in an answer; `counted` where it was called bad earlier."""
+        now = monotonic()
+        upstream = choice.candidate.upstream
+        with self.lock:
+            load = self.loads.setdefault(upstream, Load())
+            load.latency += LATENCY_GAIN * (seconds - load.latency)
+            load.in_use = in_use
+            evidence = self._evidence(service.name)
+            if counted:
+                evidence.note_latency(route, upstream, seconds)
+                return
+            is_bad = evidence.note_answer(
+                route,
+                upstream,
+                seconds,
+                now,
+                failed=failed,
+            )
+            if choice.is_trial:
+                evidence.note_trial(upstream, now, is_bad=is_bad)
+        if is_bad:
+            self.metrics.count('ingress.bad_outcomes')
+
+    def note_bad(self, service: Service, choice: Choice) -> None:
+        """Take in a failure, or that an answer already takes too long."""
+        now = monotonic()
+        with self.lock:
+            evidence = self._evidence(service.name)
+            evidence.note_outcome(choice.candidate.upstream, now, is_bad=True)
+            if choice.is_trial:
+                evidence.note_trial(
+                    choice.candidate.upstream,
+                    now,
+                    is_bad=True,
+                )
+        self.metrics.count('ingress.bad_outcomes')
+
+    def note_refusal(self, choice: Choice, reason: Refusal) -> None:
+        """Keep away from what is leaving until the fleet's view says so."""
+        now = monotonic()
+        candidate = choice.candidate
+        with self.lock:
+            if reason == Refusal.upstream_leaving:
+                self.shunned[candidate.upstream] = now + SHUNNED_SECONDS
+            elif reason == Refusal.node_leaving:
+                self.avoided[candidate.owner] = now + SHUNNED_SECONDS
+
+    def note_silent_path(self, owner: str) -> None:
+        """Keep away from an owner that this node does not hear."""
+        self.metrics.count('ingress.silent_paths')
+        with self.lock:
+            self.avoided[owner] = monotonic() + AVOIDED_PATH_SECONDS
+
+    def ejected(self) -> dict[str, list[str]]:
+        """The upstreams that this node keeps out, by service."""
+        with self.lock:
+            return {name: sorted(out) for name, out in self.out.items() if out}
+
+    def explain(self, service: Service, route: str) -> list[dict[str, object]]:
+        """Each upstream of a service, and what speaks for or against it."""
+        now = monotonic()
+        with self.lock:
+            self._follow(self.membership.view)
+            view = self.services.get(service.name)
+            if view is None:
+                return []
+            evidence = self._evidence(service.name)
+            out = evidence.settle(view.slots, service.floor, now)
+            return [
+                {
+                    'upstream': one.upstream,
+                    'owner': one.owner,
+                    'zone': one.zone,
+                    'distance': balancing.rank_distance(
+                        one,
+                        self.zone,
+                        self.region,
+                    ),
+                    'ejected': one.upstream in out,
+                    'evidence': evidence.see(one.upstream, now).score,
+                    'avoided': self._is_avoided(one, now),
+                }
+                for one in view.candidates
+            ]
+
+    def _is_avoided(self, candidate: Candidate, now: float) -> bool:
+        return (
+            self.shunned.get(candidate.upstream, 0) > now
+            or self.avoided.get(candidate.owner, 0) > now
+            or candidate.owner in self.membership.view.suspects
+        )
+
+    def _evidence(self, service: str) -> Evidence:
+        return self.evidence.setdefault(service, Evidence())
+
+    def _follow(self, view: FleetView) -> None:
+        if view.changes == self.seen_view:
+            return
+        self.seen_view = view.changes
+        self.services = group_by_service(view)
+        for name, service in self.services.items():
+            evidence = self._evidence(name)
+            evidence.forget(set(service.slots))
+        present = {
+            upstream
+            for service in self.services.values()
+            for upstream in service.slots
+        }
+        for upstream in set(self.loads) - present:
+            if self.loads[upstream].in_flight <= 0:
+                self.loads.pop(upstream)
+
+    def _usable(
+        self,
+        view: ServiceView,
+        out: set[str],
+        tried: set[str],
+        now: float,
+    ) -> list[Candidate]:
+        inside = [
+            one
+            for one in view.candidates
+            if one.upstream not in out
+            and self.shunned.get(one.upstream, 0) <= now
+        ]
+        suspects = self.membership.view.suspects
+        near = [
+            one
+            for one in inside
+            if self.avoided.get(one.owner, 0) <= now
+            and one.owner not in suspects
+        ]
+        fresh = [one for one in near or inside if one.upstream not in tried]
+        return fresh or near or inside
+
+    def _choose_among(
+        self,
+        usable: list[Candidate],
+        service: Service,
+        trial: str | None,
+    ) -> Candidate | None:
+        for candidate in usable:
+            if candidate.upstream == trial:
+                return candidate
+        return balancing.choose_upstream(
+            usable,
+            self.loads,
+            zone=self.zone,
+            region=self.region,
+            reach=service.zones,
+            rng=self.rng,
+        )
+
+    def _report_changes(self, service: str, out: set[str]) -> None:
+        before = self.out.get(service, set())
+        if out == before:
+            return
+        self.out[service] = out
+        self.metrics.count('ingress.ejections', len(out - before))
+        self.metrics.count('ingress.reinstatements', len(before - out))
+
+
+def group_by_service(view: FleetView) -> dict[str, ServiceView]:
+    """The upstreams that may get work, by service."""
+    found: dict[str, list[Candidate]] = {}
+    for node in view.nodes:
+        for upstream in node.upstreams:
+            if node.leaving or upstream.leaving or not upstream.ready:
+                continue
+            candidate = Candidate(
+                upstream=upstream.name,
+                owner=node.address,
+                zone=node.zone,
+                region=node.region,
+                slots=upstream.slots,
+            )
+            found.setdefault(upstream.service, []).append(candidate)
+    return {
+        name: ServiceView(
+            candidates=tuple(candidates),
+            slots={one.upstream: one.slots for one in candidates},
+        )
+        for name, candidates in found.items()
+    }
--- /dev/null
+++ b/packages/node/src/kumquathold_node/caller_requests.py
@@ -0,0 +1,276 @@
+"""A caller's request as the ingress takes it in, and its answer."""
+
+from __future__ import annotations
+
+import json
+import uuid
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import unquote, urlsplit
+
+import msgspec
+from kumquathold_core.rules import KEY_PREFIX, Route
+from kumquathold_core.work import Headers, Outcome, Refusal
+
+from kumquathold_node.upstream_calls import (
+    OUTCOME_HEADER,
+    end_to_end,
+)
+
+KEY_HEADER = 'x-api-key'
+AUTHORIZATION = 'authorization'
+BEARER = 'Bearer '
+REQUEST_ID_HEADER = 'x-request-id'
+IDEMPOTENCY_HEADER = 'idempotency-key'
+REPLAYED_HEADER = 'Kumquathold-Replayed'
+MAX_REQUEST_ID = 128
+MIN_DEADLINE_SECONDS = 0.001
+OWN_HEADER_PREFIX = 'kumquathold-'
+
+STATUSES = {
+    Refusal.no_route: HTTPStatus.NOT_FOUND,
+    Refusal.method_not_allowed: HTTPStatus.METHOD_NOT_ALLOWED,
+    Refusal.key_missing: HTTPStatus.UNAUTHORIZED,
+    Refusal.key_unknown: HTTPStatus.UNAUTHORIZED,
+    Refusal.key_exposed: HTTPStatus.BAD_REQUEST,
+    Refusal.body_too_large: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Refusal.malformed: HTTPStatus.BAD_REQUEST,
+    Refusal.idempotency_key_missing: HTTPStatus.BAD_REQUEST,
+    Refusal.idempotency_key_reused: HTTPStatus.UNPROCESSABLE_ENTITY,
+    Refusal.in_progress: HTTPStatus.CONFLICT,
+    Refusal.outcome_unknown: HTTPStatus.CONFLICT,
+    Refusal.settled: HTTPStatus.CONFLICT,
+    Refusal.answer_not_kept: HTTPStatus.CONFLICT,
+    Refusal.rate_exceeded: HTTPStatus.TOO_MANY_REQUESTS,
+    Refusal.upstream_failed: HTTPStatus.BAD_GATEWAY,
+    Refusal.owner_unreachable: HTTPStatus.BAD_GATEWAY,
+    Refusal.owner_restarted: HTTPStatus.BAD_GATEWAY,
+    Refusal.deadline_passed: HTTPStatus.GATEWAY_TIMEOUT,
+    Refusal.crashes_upstreams: HTTPStatus.UNPROCESSABLE_ENTITY,
+}
+"""All other refusals are `503 Service Unavailable`."""
+
+DETAILS = {
+    Refusal.no_route: 'No rule routes this path.',
+    Refusal.method_not_allowed: 'The path does not take this method.',
+    Refusal.key_missing: 'Present a key, as Authorization: Bearer KEY.',
+    Refusal.key_unknown: 'The key is not known or was withdrawn.',
+    Refusal.key_exposed: 'The key may only stand in its own header.',
+    Refusal.body_too_large: 'The body is larger than the route takes.',
+    Refusal.malformed: 'The request could not be read.',
+    Refusal.idempotency_key_missing: 'This route needs an Idempotency-Key.',
+    Refusal.idempotency_key_reused: (
+        'This Idempotency-Key came with a different request before.'
+    ),
+    Refusal.in_progress: 'The first request with this key has not ended.',
+    Refusal.outcome_unknown: (
+        'It is not known whether the first request ran; operators can look.'
+    ),
+    Refusal.settled: 'Operators found that the first request ran.',
+    Refusal.answer_not_kept: 'It ran; its answer is not kept any more.',
+    Refusal.rate_exceeded: 'The workspace is over its rate.',
+    Refusal.rate_unavailable: 'No holder of the rate answers.',
+    Refusal.stale_configuration: (
+        'This node cannot prove that its configuration is the latest.'
+    ),
+    Refusal.no_configuration: 'No configuration is in force yet.',
+    Refusal.no_upstream: 'No upstream of the service is there.',
+    Refusal.overloaded: 'The upstreams have no free slot in time.',
+    Refusal.upstream_shed: 'The upstream sheds load.',
+    Refusal.upstream_unreachable: 'The upstream takes no connection.',
+    Refusal.upstream_failed: 'The upstream gave no whole answer.',
+    Refusal.owner_unreachable: 'The node beside the upstream is not heard.',
+    Refusal.deadline_passed: 'The deadline has passed.',
+    Refusal.crashes_upstreams: 'This request crashed two upstreams.',
+    Refusal.store_unavailable: 'The store does not answer.',
+}
+
+
+class CallerRequest(msgspec.Struct, frozen=True):
+    """What a caller sent."""
+
+    id: str
+    """The caller's request id, or one made here."""
+
+    method: str
+    """HTTP method."""
+
+    target: str
+    """Path and query, as sent."""
+
+    path: str
+    """Decoded path, for routing."""
+
+    headers: Headers
+    """End-to-end headers, credentials removed."""
+
+    key: str
+    """The key that was presented, or empty."""
+
+    idempotency_key: str
+    """From the caller, or empty."""
+
+    body: bytes
+    """The whole body."""
+
+    has_gone: Callable[[], bool]
+    """Whether the caller has closed its connection."""
+
+
+class CallerAnswer(msgspec.Struct, frozen=True):
+    """What a caller gets."""
+
+    status: int
+    """HTTP status."""
+
+    headers: Headers
+    """Without those for one hop only."""
+
+    body: bytes
+    """The whole body."""
+
+
+class Refused(Exception):
+    """A request that gets a problem instead of an upstream's answer."""
+
+    def __init__(
+        self,
+        reason: Refusal,
+        outcome: Outcome = Outcome.not_run,
+        retry_after: float = 0,
+        headers: Headers = (),
+    ) -> None:
+        """Say why, and whether the request ran."""
+        super().__init__(reason.value)
+        self.reason = reason
+        self.outcome = outcome
+        self.retry_after = retry_after
+        self.headers = headers
+
+
+def read_request(environ: dict[str, Any]) -> CallerRequest:
+    """Read a WSGI environment; raises `Refused`."""
+    parts = urlsplit(environ['REQUEST_URI'])
+    query = f'?{parts.query}' if parts.query else ''
+    target = f'{parts.path or "/"}{query}'
+    if not target.startswith('/') or not target.isascii():
+        raise Refused(Refusal.malformed)
+    headers = _read_headers(environ)
+    by_name = {name.lower(): text for name, text in headers}
+    request_id = by_name.get(REQUEST_ID_HEADER, '')[:MAX_REQUEST_ID]
+    key = _find_key(by_name)
+    return CallerRequest(
+        id=request_id or uuid.uuid4().hex,
+        method=environ['REQUEST_METHOD'],
+        target=target,
+        path=unquote(parts.path or '/'),
+        headers=_clean_headers(headers),
+        key=key,
+        idempotency_key=by_name.get(IDEMPOTENCY_HEADER, '').strip(),
+        body=environ['wsgi.input'].read(),
+        has_gone=environ.get('waitress.client_disconnected', _stays),
+    )
+
+
+def refuse_exposed_key(request: CallerRequest) -> None:
+    """Refuse a request that carries its key where an upstream would see it."""
+    key = request.key
+    if not key:
+        return
+    texts = [unquote(request.target), *(text for _, text in request.headers)]
+    is_exposed = any(key in text for text in texts)
+    if is_exposed or key.encode() in request.body:
+        raise Refused(Refusal.key_exposed)
+
+
+def strip_body(request: CallerRequest, answer: CallerAnswer) -> bytes:
+    """The body to send: none to HEAD."""
+    return b'' if request.method == 'HEAD' else answer.body
+
+
+def make_problem(refused: Refused, request_id: str) -> CallerAnswer:
+    """The RFC 9457 answer for a refusal."""
+    status = STATUSES.get(refused.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+    problem = {
+        'type': f'urn:kumquathold:reason:{refused.reason.value}',
+        'title': status.phrase,
+        'status': status.value,
+        'detail': DETAILS.get(refused.reason, status.description),
+        'reason': refused.reason.value,
+        'outcome': refused.outcome.value,
+        'request_id': request_id,
+    }
+    headers = [
+        ('Content-Type', 'application/problem+json'),
+        (OUTCOME_HEADER, refused.outcome.value),
+        *refused.headers,
+    ]
+    asks_for_patience = status in {
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        HTTPStatus.CONFLICT,
+    }
+    if asks_for_patience:
+        seconds = max(1, round(refused.retry_after))
+        headers.append(('Retry-After', str(seconds)))
+    if status == HTTPStatus.UNAUTHORIZED:
+        headers.append(('WWW-Authenticate', 'Bearer'))
+    return CallerAnswer(
+        status=status.value,
+        headers=tuple(headers),
+        body=json.dumps(problem).encode(),
+    )
+
+
+def deadline_of(request: CallerRequest, route: Route) -> float:
+    """Seconds that the caller waits: its own wish, at most the route's."""
+    for name, text in request.headers:
+        if name.lower() == 'request-timeout':
+            try:
+                wish = float(text)
+            except ValueError:
+                return route.deadline
+            return min(max(wish, MIN_DEADLINE_SECONDS), route.deadline)
+    return route.deadline
+
+
+def _read_headers(environ: dict[str, Any]) -> list[tuple[str, str]]:
+    headers = []
+    for name, text in environ.items():
+        if name.startswith('HTTP_'):
+            title = name[len('HTTP_') :].replace('_', '-').title()
+            headers.append((title, text))
+    if environ.get('CONTENT_TYPE'):
+        headers.append(('Content-Type', environ['CONTENT_TYPE']))
+    return headers
+
+
+def _find_key(by_name: dict[str, str]) -> str:
+    authorization = by_name.get(AUTHORIZATION, '')
+    bearer = ''
+    if authorization.startswith(BEARER):
+        bearer = authorization.removeprefix(BEARER).strip()
+    named = by_name.get(KEY_HEADER, '').strip()
+    if bearer and named and bearer != named:
+        raise Refused(Refusal.malformed)
+    return named or bearer
+
+
+def _clean_headers(headers: list[tuple[str, str]]) -> Headers:
+    return tuple(
+        (name, text)
+        for name, text in end_to_end(headers)
+        if name.lower() != KEY_HEADER
+        and not name.lower().startswith(OWN_HEADER_PREFIX)
+        and not _carries_key(name, text)
+    )
+
+
+def _carries_key(name: str, text: str) -> bool:
+    is_credential = name.lower() in {AUTHORIZATION, 'proxy-authorization'}
+    return is_credential and f'{KEY_PREFIX}_' in text
+
+
+def _stays() -> bool:
+    return False
--- /dev/null
+++ b/packages/node/src/kumquathold_node/callers.py
@@ -0,0 +1,211 @@
+"""The HTTP side towards callers, by waitress."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
+from http import HTTPStatus
+from time import monotonic
+from typing import Any
+
+import waitress.channel
+import waitress.server
+import waitress.task
+from kumquathold_core.work import Refusal
+from loguru import logger
+
+from kumquathold_node import caller_requests
+from kumquathold_node.caller_requests import (
+    CallerAnswer,
+    CallerRequest,
+    Refused,
+)
+from kumquathold_node.ingress import Ingress
+from kumquathold_node.kernel import Kernel
+from kumquathold_node.metrics import Metrics
+
+MAX_BODY_BYTES = 67_108_864
+MAX_HEADER_BYTES = 32_768
+IN_MEMORY_BYTES = MAX_BODY_BYTES * 2
+CONNECTION_LIMIT = 4000
+IDLE_SECONDS = 60
+BACKLOG = 1024
+JOIN_SECONDS = 5.0
+BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+
+StartResponse = Callable[..., Any]
+WsgiApp = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
+
+
+class Door:
+    """Counts callers' requests in hand, and says when the node leaves."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        """Start open."""
+        self.lock = threading.Lock()
+        self.in_hand = 0
+        self.last_arrival = monotonic()
+        self.is_leaving = False
+        kernel.register('door', self)
+
+    @contextmanager
+    def passing(self) -> Iterator[None]:
+        """Count a request while the block runs."""
+        with self.lock:
+            self.in_hand += 1
+            self.last_arrival = monotonic()
+        try:
+            yield
+        finally:
+            with self.lock:
+                self.in_hand -= 1
+
+
+def make_caller_app(kernel: Kernel) -> WsgiApp:
+    """The WSGI application that callers talk to."""
+    ingress: Ingress = kernel.find('ingress')
+    metrics: Metrics = kernel.find('metrics')
+    door: Door = kernel.find('door')
+
+    def app(
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        with door.passing():
+            started_at = monotonic()
+            request_id = ''
+            try:
+                request = caller_requests.read_request(environ)
+                request_id = request.id
+                answer = _answer(ingress, metrics, request)
+                body = caller_requests.strip_body(request, answer)
+            except Refused as refused:
+                metrics.count(f'ingress.refused.{refused.reason.value}')
+                answer = caller_requests.make_problem(refused, request_id)
+                body = answer.body
+            metrics.time('ingress.request', monotonic() - started_at)
+            headers = _response_headers(answer, request_id, door)
+            start_response(_status_line(answer.status), headers)
+            return [body]
+
+    return app
+
+
+def _answer(
+    ingress: Ingress,
+    metrics: Metrics,
+    request: CallerRequest,
+) -> CallerAnswer:
+    try:
+        answer = ingress.handle(request)
+    except Refused as refused:
+        logger.info(
+            'request refused',
+            request=request.id,
+            reason=refused.reason.value,
+            outcome=refused.outcome.value,
+        )
+        metrics.count(f'ingress.refused.{refused.reason.value}')
+        return caller_requests.make_problem(refused, request.id)
+    metrics.count('ingress.answered')
+    return answer
+
+
+def _response_headers(
+    answer: CallerAnswer,
+    request_id: str,
+    door: Door,
+) -> list[tuple[str, str]]:
+    headers = list(answer.headers)
+    states_length = any(name.lower() == 'content-length' for name, _ in headers)
+    if not states_length and answer.status not in BODILESS:
+        headers.append(('Content-Length', str(len(answer.body))))
+    if request_id:
+        headers.append(('X-Request-Id', request_id))
+    if door.is_leaving:
+        headers.append(('Connection', 'close'))
+    return headers
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f'{status} {HTTPStatus(status).phrase}'
+    except ValueError:
+        return f'{status} Unassigned'
+
+
+class _ProblemTask(waitress.task.ErrorTask):
+    """Answers what waitress itself refuses in the same form."""
+
+    def execute(self) -> None:
+        """Write a problem answer and close the connection."""
+        error = self.request.error
+        reason = Refusal.malformed
+        if error.code == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+            reason = Refusal.body_too_large
+        answer = caller_requests.make_problem(Refused(reason), '')
+        self.status = _status_line(answer.status)
+        self.response_headers.extend(answer.headers)
+        self.set_close_on_finish()
+        self.content_length = len(answer.body)
+        self.write(answer.body)
+
+
+class _Channel(waitress.channel.HTTPChannel):
+    error_task_class = _ProblemTask
+
+
+class _LogBridge(logging.Handler):
+    """Sends the library's log records to this node's log."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        logger.warning(record.getMessage(), source=record.name)
+
+
+def bridge_library_logs() -> None:
+    """Have waitress log as JSON lines, warnings and worse only."""
+    library = logging.getLogger('waitress')
+    library.handlers = [_LogBridge()]
+    library.setLevel(logging.ERROR)
+    library.propagate = False
+
+
+@contextmanager
+def serving(
+    app: WsgiApp,
+    address: str,
+    threads: int,
+) -> Iterator[waitress.server.BaseWSGIServer]:
+    """Serve HTTP while the block runs."""
+    server = waitress.server.create_server(
+        app,
+        listen=address,
+        threads=threads,
+        ident='',
+        backlog=BACKLOG,
+        connection_limit=CONNECTION_LIMIT,
+        channel_timeout=IDLE_SECONDS,
+        channel_request_lookahead=1,
+        max_request_body_size=MAX_BODY_BYTES,
+        max_request_header_size=MAX_HEADER_BYTES,
+        inbuf_overflow=IN_MEMORY_BYTES,
+        outbuf_overflow=IN_MEMORY_BYTES,
+        asyncore_use_poll=True,
+        clear_untrusted_proxy_headers=False,
+    )
+    server.channel_class = _Channel
+    thread = threading.Thread(
+        target=server.run,
+        name=f'http {address}',
+        daemon=True,
+    )
+    thread.start()
+    try:
+        yield server
+    finally:
+        server.task_dispatcher.shutdown(cancel_pending=False, timeout=1)
+        server.close()
+        thread.join(JOIN_SECONDS)
--- /dev/null
+++ b/packages/node/src/kumquathold_node/exchanges.py
@@ -0,0 +1,172 @@
+"""Matches owners' answers to the requests that wait for them.
+
+One task owns all open exchanges. An answer that is late, doubled or meant for
+another process finds no open exchange, and is dropped.
+"""
+
+from __future__ import annotations
+
+import queue
+from collections.abc import Iterator
+from contextlib import contextmanager
+from time import monotonic
+from typing import TYPE_CHECKING
+
+import msgspec
+from kumquathold_core import assembly, work
+from loguru import logger
+
+from kumquathold_node.kernel import Kernel, Task
+from kumquathold_node.metrics import Metrics
+from kumquathold_node.transport import Transport
+
+if TYPE_CHECKING:
+    from kumquathold_core.identity import RequestId
+    from kumquathold_core.wire import Envelope
+
+
+class Answered(msgspec.Struct, frozen=True):
+    """The whole answer is there."""
+
+    answer: work.AnswerReady
+    """What the owner said."""
+
+    body: bytes
+    """The whole body, checked."""
+
+
+Event = Answered | work.WorkFailed | work.WorkInHand
+Mailbox = queue.SimpleQueue[Event]
+
+
+class ExchangeOpened(msgspec.Struct, frozen=True):
+    """A request is about to be sent."""
+
+    request: RequestId
+    """Names the sending."""
+
+    mailbox: Mailbox
+    """Takes what the owner says."""
+
+
+class ExchangeClosed(msgspec.Struct, frozen=True):
+    """Nobody waits for the request any more."""
+
+    request: RequestId
+    """Names the sending."""
+
+
+class Exchanges:
+    """Owns the open exchanges of this node's ingress."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        """Find the services that are needed, and register."""
+        self.transport: Transport = kernel.find('transport')
+        self.metrics: Metrics = kernel.find('metrics')
+        self.open: dict[RequestId, Mailbox] = {}
+        self.answers: dict[RequestId, work.AnswerReady] = {}
+        self.assembler = assembly.Assembler()
+        self.task = Task(
+            'exchanges',
+            {
+                ExchangeOpened: self.on_exchange_opened,
+                ExchangeClosed: self.on_exchange_closed,
+                work.AnswerReady: self.on_answer_ready,
+                work.AnswerPieceSent: self.on_answer_piece_sent,
+                work.WorkFailed: self.on_word,
+                work.WorkInHand: self.on_word,
+            },
+            tick=self.on_tick,
+        )
+        self.transport.deliver_to(
+            self.task,
+            work.AnswerReady,
+            work.AnswerPieceSent,
+            work.WorkFailed,
+            work.WorkInHand,
+        )
+        kernel.register('exchanges', self)
+        kernel.add_task(self.task)
+
+    @contextmanager
+    def exchange(self, request: RequestId) -> Iterator[Mailbox]:
+        """Take what comes for a request while the block runs."""
+        mailbox: Mailbox = queue.SimpleQueue()
+        self.task.post(ExchangeOpened(request, mailbox))
+        try:
+            yield mailbox
+        finally:
+            self.task.post(ExchangeClosed(request))
+
+    def on_exchange_opened(self, opened: ExchangeOpened) -> None:
+        """Expect words on a request."""
+        self.open[opened.request] = opened.mailbox
+
+    def on_exchange_closed(self, closed: ExchangeClosed) -> None:
+        """Expect no more."""
+        self.open.pop(closed.request, None)
+        self.answers.pop(closed.request, None)
+        self.assembler.forget(closed.request)
+
+    def on_answer_ready(self, envelope: Envelope[work.AnswerReady]) -> None:
+        """Take an answer; pass it on when its body is whole."""
+        answer = envelope.message
+        if answer.request not in self.open:
+            self.metrics.count('ingress.late_answers')
+            return
+        self.answers[answer.request] = answer
+        self._assemble(
+            answer.request,
+            lambda: self.assembler.announce(
+                answer.request,
+                answer.body_bytes,
+                answer.body_digest,
+                answer.body,
+                monotonic(),
+            ),
+        )
+
+    def on_answer_piece_sent(
+        self, envelope: Envelope[work.AnswerPieceSent]
+    ) -> None:
+        """Take a further piece of an answer."""
+        piece = envelope.message
+        if piece.request not in self.open:
+            return
+        self._assemble(
+            piece.request,
+            lambda: self.assembler.add_piece(
+                piece.request,
+                piece.offset,
+                piece.chunk,
+                monotonic(),
+            ),
+        )
+        mailbox = self.open.get(piece.request)
+        if mailbox is not None:
+            mailbox.put(work.WorkInHand(request=piece.request))
+
+    def on_word(self, envelope: Envelope[work.WorkFailed]) -> None:
+        """Pass on what an owner says of a request."""
+        mailbox = self.open.get(envelope.message.request)
+        if mailbox is not None:
+            mailbox.put(envelope.message)
+
+    def on_tick(self) -> None:
+        """Drop answers whose rest never came; an inquiry brings them anew."""
+        self.assembler.expire(monotonic())
+
+    def _assemble(self, request: RequestId, take: assembly.Take) -> None:
+        try:
+            body = take()
+        except assembly.AssemblyError as error:
+            self.metrics.count('ingress.answers_refused')
+            logger.warning(
+                'answer refused',
+                request=str(request),
+                cause=str(error),
+            )
+            return
+        answer = self.answers.get(request)
+        if body is not None and answer is not None:
+            self.open[request].put(Answered(answer, body))
--- /dev/null
+++ b/packages/node/src/kumquathold_node/freshness_service.py
@@ -0,0 +1,117 @@
+"""The node's freshness, shared by the tasks that prove and use it."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from kumquathold_core import members
+from kumquathold_core.freshness import FreshnessKeeper, Verdict
+
+from kumquathold_node.kernel import Kernel
+from kumquathold_node.settings import Settings
+
+if TYPE_CHECKING:
+    from kumquathold_core.gossip import Freshness
+    from kumquathold_core.identity import NodeRecord
+
+READERS_PER_REGION = 3
+
+VersionHeard = Callable[[str, int], None]
+
+
+def region_readers(
+    nodes: tuple[NodeRecord, ...],
+    region: str,
+) -> frozenset[str]:
+    """Addresses of the nodes that read the platform for their region."""
+    there = [node for node in nodes if node.region == region]
+    ranked = members.rank_nodes(there, 'reader')
+    return frozenset(node.address for node in ranked[:READERS_PER_REGION])
+
+
+class FreshnessService:
+    """Guards the keeper with a lock, and adds the clock and the fleet."""
+
+    def __init__(self, kernel: Kernel, settings: Settings) -> None:
+        """Register; the fleet's view is looked up when it is needed."""
+        self.kernel = kernel
+        self.own = settings.peer
+        self.is_near_store = settings.region == settings.store_region
+        self.store_region = settings.store_region
+        self.keeper = FreshnessKeeper()
+        self.lock = threading.Lock()
+        self.on_version_heard: VersionHeard = _ignore_version
+        kernel.register('freshness', self)
+
+    @property
+    def version(self) -> int:
+        """The version in force."""
+        return self.keeper.version
+
+    def adopt(self, version: int) -> bool:
+        """Put a version in force unless it is lower."""
+        with self.lock:
+            return self.keeper.adopt(version)
+
+    def prove(self, version: int, asked_at: float) -> None:
+        """Take the platform's word."""
+        with self.lock:
+            self.keeper.reach_store()
+            self.keeper.prove(version, asked_at)
+
+    def fail_store(self, asked_at: float) -> None:
+        """Note an own call to the platform without an answer."""
+        with self.lock:
+            self.keeper.fail_store(asked_at)
+
+    def hear(self, peer: str, told: Freshness, asked_at: float) -> None:
+        """Take in what a peer answered."""
+        near = self.near_store()
+        with self.lock:
+            self.keeper.hear(
+                peer,
+                told,
+                asked_at,
+                is_near_store=peer in near,
+            )
+        self.hear_version(peer, told)
+
+    def hear_version(self, peer: str, told: Freshness) -> None:
+        """Have a higher version fetched from the peer that has it."""
+        if told.version > self.keeper.version:
+            self.on_version_heard(peer, told.version)
+
+    def describe(self) -> Freshness:
+        """What to tell a peer."""
+        with self.lock:
+            return self.keeper.describe(monotonic())
+
+    def near_store(self) -> frozenset[str]:
+        """The other nodes that read the platform in its own region."""
+        view = self.kernel.find('membership').view
+        readers = region_readers(view.nodes, self.store_region)
+        return readers - {self.own}
+
+    def judge(self) -> Verdict:
+        """Decide whether keyed requests may be served now."""
+        with self.lock:
+            if self.keeper.is_fresh(monotonic()):
+                return Verdict.fresh
+        near = self.near_store()
+        with self.lock:
+            return self.keeper.judge(
+                monotonic(),
+                near_store=near,
+                is_near_store=self.is_near_store,
+            )
+
+    def proof_age(self) -> float:
+        """Seconds since the newest proof was asked for."""
+        return self.describe().proof_age
+
+
+def _ignore_version(_peer: str, _version: int) -> None:
+    """Stands in until the configuration service listens."""
--- /dev/null
+++ b/packages/node/src/kumquathold_node/leaving.py
@@ -0,0 +1,72 @@
+"""Leaves the fleet without cutting off a request.
+
+The order: tell the fleet and refuse new work for the upstreams here; go on
+taking callers' requests, each answered with `Connection: close`, until none
+came for a while; wait for what is in hand; hand the rate groups back.
+"""
+
+from __future__ import annotations
+
+import threading
+from time import monotonic, sleep
+
+from loguru import logger
+
+from kumquathold_node.callers import Door
+from kumquathold_node.kernel import Kernel
+from kumquathold_node.membership import Membership, NodeLeaving
+from kumquathold_node.owner import LeavingBegun, Owner
+from kumquathold_node.rates import RateElection
+from kumquathold_node.settings import Settings
+
+QUIET_LIMIT_SECONDS = 20.0
+WORK_LIMIT_SECONDS = 70.0
+CHECK_SECONDS = 0.05
+ANSWER_FLUSH_SECONDS = 0.3
+
+
+class Leaving:
+    """Begins the leaving once, on a signal or an operator's call."""
+
+    def __init__(self, kernel: Kernel, settings: Settings) -> None:
+        """Find the services that are needed, and register."""
+        self.door: Door = kernel.find('door')
+        self.owner: Owner = kernel.find('owner')
+        self.membership: Membership = kernel.find('membership')
+        self.election: RateElection = kernel.find('rate-election')
+        self.quiet = settings.quiet
+        self.begun = threading.Event()
+        kernel.register('leaving', self)
+
+    def begin(self) -> None:
+        """Ask for the leaving; returns at once."""
+        self.begun.set()
+
+    def wait_and_leave(self) -> None:
+        """Wait until somebody asks, then see the leaving through."""
+        self.begun.wait()
+        logger.info('leaving begun')
+        self.owner.task.post(LeavingBegun())
+        self.membership.task.post(NodeLeaving())
+        self.door.is_leaving = True
+        self._wait_for_quiet()
+        is_done = self._wait_for_work()
+        self.election.hand_back()
+        sleep(ANSWER_FLUSH_SECONDS)
+        logger.info('leaving done', all_finished=is_done)
+
+    def _wait_for_quiet(self) -> None:
+        started_at = monotonic()
+        while monotonic() - started_at < QUIET_LIMIT_SECONDS:
+            latest = max(self.door.last_arrival, started_at)
+            if monotonic() - latest >= self.quiet:
+                return
+            sleep(CHECK_SECONDS)
+
+    def _wait_for_work(self) -> bool:
+        started_at = monotonic()
+        while monotonic() - started_at < WORK_LIMIT_SECONDS:
+            if not self.door.in_hand and not self.owner.in_hand:
+                return True
+            sleep(CHECK_SECONDS)
+        return False
--- /dev/null
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -0,0 +1,397 @@
+"""The membership service: heartbeats and gossip between nodes.
+
+Each round one peer, drawn in shuffled turns, gets a heartbeat that carries
+what changed. A peer that does not answer is tried through others before it is
+suspected, so that a path that is cut one way does not make a node look dead.
+"""
+
+from __future__ import annotations
+
+import random
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeout
+from time import monotonic
+from typing import TYPE_CHECKING
+
+import msgspec
+from kumquathold_core import gossip, members
+from kumquathold_core.clocks import ClockReading
+from loguru import logger
+
+from kumquathold_node.freshness_service import FreshnessService
+from kumquathold_node.kernel import Kernel, Task
+from kumquathold_node.transport import Transport
+
+if TYPE_CHECKING:
+    from kumquathold_core.identity import NodeRecord, UpstreamRecord
+    from kumquathold_core.wire import Envelope
+
+ROUND_SECONDS = 0.25
+DIRECT_SECONDS = 0.3
+INDIRECT_SECONDS = 0.6
+HELPERS = 3
+TABLE_RECORDS = 32
+TABLE_ASK_SECONDS = 2.0
+URGENT_FANOUT = 16
+
+
+class UpstreamsChanged(msgspec.Struct, frozen=True):
+    """The upstreams beside this node changed."""
+
+    upstreams: tuple[UpstreamRecord, ...]
+    """All that are announced now."""
+
+
+class GroupsHeld(msgspec.Struct, frozen=True):
+    """The rate groups that this node holds changed."""
+
+    groups: tuple[int, ...]
+    """All that are held now."""
+
+
+class ConfigurationInForce(msgspec.Struct, frozen=True):
+    """The own node put a configuration in force."""
+
+    version: int
+    """Its version."""
+
+
+class NodeLeaving(msgspec.Struct, frozen=True):
+    """The own node takes no new work from now on."""
+
+
+class PeersGiven(msgspec.Struct, frozen=True):
+    """Addresses to try to join by."""
+
+    addresses: tuple[str, ...]
+    """From settings or from the platform's seed record."""
+
+
+class PingWanted(msgspec.Struct, frozen=True):
+    """Somebody wants to hear of a peer now."""
+
+    peer: str
+    """Its address."""
+
+
+class ReadingWanted(msgspec.Struct, frozen=True):
+    """A request needs a peer's clock before its first message to it."""
+
+    peer: str
+    """The peer's address."""
+
+    reply: Future[ClockReading]
+    """Takes the reading when the peer answers."""
+
+
+class FleetView(msgspec.Struct, frozen=True):
+    """What this node knows of the fleet; replaced whole when it changes."""
+
+    nodes: tuple[NodeRecord, ...]
+    """All nodes not believed dead, this one included."""
+
+    by_address: dict[str, NodeRecord]
+    """The same, by peer address."""
+
+    suspects: frozenset[str]
+    """Peer addresses of nodes that do not answer at the moment."""
+
+    holders: dict[tuple[str, int], str]
+    """Peer address of the rate holder, by region and group."""
+
+    changes: int
+    """Counts the views."""
+
+
+class Heartbeat(msgspec.Struct):
+    """A heartbeat that awaits its answer."""
+
+    peer: str
+    """Who was asked."""
+
+    sent_at: float
+    """Own monotonic clock, in seconds."""
+
+    is_indirect: bool = False
+    """Whether others were asked to try."""
+
+
+class Membership:
+    """Owns the member table; others read `view`."""
+
+    def __init__(self, kernel: Kernel, own: NodeRecord) -> None:
+        """Find the services that are needed, and register."""
+        self.transport: Transport = kernel.find('transport')
+        self.freshness: FreshnessService = kernel.find('freshness')
+        self.table = members.MemberTable(own, monotonic())
+        self.heartbeats: dict[int, Heartbeat] = {}
+        self.readings: dict[str, ClockReading] = {}
+        self.awaited: dict[str, list[Future[ClockReading]]] = {}
+        self.turns: list[str] = []
+        self.number = 0
+        self.seeds: tuple[str, ...] = ()
+        self.table_asked_at = -TABLE_ASK_SECONDS
+        self.seen_changes = -1
+        self.rng = random.Random(own.incarnation)
+        self.view = self._make_view()
+        self.task = Task(
+            'membership',
+            {
+                gossip.PingSent: self.on_ping_sent,
+                gossip.PongSent: self.on_pong_sent,
+                gossip.IndirectPingAsked: self.on_indirect_ping_asked,
+                gossip.IndirectPongSent: self.on_indirect_pong_sent,
+                gossip.TableAsked: self.on_table_asked,
+                gossip.TableSent: self.on_table_sent,
+                UpstreamsChanged: self.on_upstreams_changed,
+                GroupsHeld: self.on_groups_held,
+                ConfigurationInForce: self.on_configuration_in_force,
+                NodeLeaving: self.on_node_leaving,
+                PeersGiven: self.on_peers_given,
+                PingWanted: self.on_ping_wanted,
+                ReadingWanted: self.on_reading_wanted,
+            },
+            tick=self.run_round,
+            tick_seconds=ROUND_SECONDS,
+        )
+        self.transport.deliver_to(
+            self.task,
+            gossip.PingSent,
+            gossip.PongSent,
+            gossip.IndirectPingAsked,
+            gossip.IndirectPongSent,
+            gossip.TableAsked,
+            gossip.TableSent,
+        )
+        kernel.register('membership', self)
+        kernel.add_task(self.task)
+
+    def reading_of(self, peer: str, patience: float) -> ClockReading | None:
+        """What is known of a peer's clock; asks and waits where nothing is."""
+        node = self.view.by_address.get(peer)
+        reading = self.readings.get(peer)
+        least = node.incarnation if node else 0
+        if reading is not None and reading.incarnation >= least:
+            return reading
+        reply: Future[ClockReading] = Future()
+        self.task.post(ReadingWanted(peer, reply))
+        try:
+            return reply.result(patience)
+        except FutureTimeout:
+            return None
+
+    def run_round(self) -> None:
+        """Send this round's heartbeat and judge the unanswered ones."""
+        now = monotonic()
+        self._judge_heartbeats(now)
+        for record in self.table.expire(now):
+            logger.warning('node declared dead', peer=record.address)
+        if len(self.table.members) == 1:
+            self._ask_seeds()
+        peer = self._next_turn()
+        if peer is not None:
+            self._ping(peer, now)
+        self.transport.close_idle()
+        self._refresh_view()
+
+    def on_ping_sent(self, envelope: Envelope[gossip.PingSent]) -> None:
+        """Answer a heartbeat."""
+        ping = envelope.message
+        self._merge(ping.rumours)
+        pong = gossip.PongSent(
+            number=ping.number,
+            on_behalf_of=ping.on_behalf_of,
+            origin_number=ping.origin_number,
+            clock=monotonic(),
+            table_digest=self.table.digest,
+            freshness=self.freshness.describe(),
+            rumours=self.table.take_rumours(),
+        )
+        self.transport.try_send(envelope.sender, pong)
+        self.freshness.hear_version(envelope.sender, ping.freshness)
+        self._compare_tables(envelope.sender, ping.table_digest)
+
+    def on_pong_sent(self, envelope: Envelope[gossip.PongSent]) -> None:
+        """Take in an answer, or pass it to the node that wanted it."""
+        pong = envelope.message
+        self._merge(pong.rumours)
+        if pong.on_behalf_of:
+            answer = gossip.IndirectPongSent(
+                number=pong.origin_number,
+                subject=envelope.sender,
+            )
+            self.transport.try_send(pong.on_behalf_of, answer)
+            return
+        heartbeat = self.heartbeats.pop(pong.number, None)
+        if heartbeat is None:
+            return
+        reading = ClockReading(
+            incarnation=envelope.incarnation,
+            clock=pong.clock,
+            asked_at=heartbeat.sent_at,
+        )
+        self.readings[envelope.sender] = reading
+        for reply in self.awaited.pop(envelope.sender, ()):
+            reply.set_result(reading)
+        self.freshness.hear(
+            envelope.sender,
+            pong.freshness,
+            heartbeat.sent_at,
+        )
+        self._compare_tables(envelope.sender, pong.table_digest)
+
+    def on_indirect_ping_asked(
+        self, envelope: Envelope[gossip.IndirectPingAsked]
+    ) -> None:
+        """Try a third node for one that cannot reach it."""
+        asked = envelope.message
+        ping = self._make_ping(0, envelope.sender, asked.number)
+        self.transport.try_send(asked.subject, ping)
+
+    def on_indirect_pong_sent(
+        self, envelope: Envelope[gossip.IndirectPongSent]
+    ) -> None:
+        """Note that a node answers others."""
+        self.heartbeats.pop(envelope.message.number, None)
+
+    def on_table_asked(self, envelope: Envelope[gossip.TableAsked]) -> None:
+        """Send the whole table, in parts."""
+        self._merge(envelope.message.rumours)
+        rumours = self.table.all_rumours()
+        for start in range(0, len(rumours), TABLE_RECORDS):
+            part = tuple(rumours[start : start + TABLE_RECORDS])
+            message = gossip.TableSent(rumours=part)
+            self.transport.try_send(envelope.sender, message)
+
+    def on_table_sent(self, envelope: Envelope[gossip.TableSent]) -> None:
+        """Take in a part of a peer's table."""
+        self._merge(envelope.message.rumours)
+
+    def on_upstreams_changed(self, change: UpstreamsChanged) -> None:
+        """Tell the fleet at once."""
+        self.table.update_own(monotonic(), upstreams=change.upstreams)
+        self._spread_now()
+
+    def on_groups_held(self, change: GroupsHeld) -> None:
+        """Tell the fleet at once."""
+        self.table.update_own(monotonic(), rate_groups=change.groups)
+        self._spread_now()
+
+    def on_configuration_in_force(self, change: ConfigurationInForce) -> None:
+        """Tell the fleet with the next heartbeats."""
+        self.table.update_own(monotonic(), config_version=change.version)
+        self._refresh_view()
+
+    def on_node_leaving(self, _: NodeLeaving) -> None:
+        """Tell the fleet at once."""
+        self.table.update_own(monotonic(), leaving=True)
+        self._spread_now()
+
+    def on_peers_given(self, given: PeersGiven) -> None:
+        """Ask each for its table."""
+        own = self.table.own.address
+        self.seeds = tuple(one for one in given.addresses if one != own)
+        self._ask_seeds()
+
+    def on_ping_wanted(self, wanted: PingWanted) -> None:
+        """Send a heartbeat out of turn."""
+        self._ping(wanted.peer, monotonic())
+
+    def on_reading_wanted(self, wanted: ReadingWanted) -> None:
+        """Ask a peer for its clock."""
+        self.awaited.setdefault(wanted.peer, []).append(wanted.reply)
+        self._ping(wanted.peer, monotonic())
+
+    def _make_ping(
+        self,
+        number: int,
+        on_behalf_of: str = '',
+        origin_number: int = 0,
+    ) -> gossip.PingSent:
+        return gossip.PingSent(
+            number=number,
+            on_behalf_of=on_behalf_of,
+            origin_number=origin_number,
+            table_digest=self.table.digest,
+            freshness=self.freshness.describe(),
+            rumours=self.table.take_rumours(),
+        )
+
+    def _ping(self, peer: str, now: float) -> None:
+        self.number += 1
+        self.heartbeats[self.number] = Heartbeat(peer, now)
+        self.transport.try_send(peer, self._make_ping(self.number))
+
+    def _next_turn(self) -> str | None:
+        if not self.turns:
+            self.turns = self.table.peers()
+            self.rng.shuffle(self.turns)
+        return self.turns.pop() if self.turns else None
+
+    def _judge_heartbeats(self, now: float) -> None:
+        for number, heartbeat in list(self.heartbeats.items()):
+            age = now - heartbeat.sent_at
+            if age >= DIRECT_SECONDS + INDIRECT_SECONDS:
+                self.heartbeats.pop(number)
+                if self.table.suspect(heartbeat.peer, now):
+                    logger.info('node suspected', peer=heartbeat.peer)
+            elif age >= DIRECT_SECONDS and not heartbeat.is_indirect:
+                heartbeat.is_indirect = True
+                self._ask_helpers(number, heartbeat.peer)
+
+    def _ask_helpers(self, number: int, subject: str) -> None:
+        if monotonic() - self.transport.last_heard(subject) > 1:
+            self.transport.reset(subject)
+        others = [one for one in self.table.peers() if one != subject]
+        helpers = self.rng.sample(others, min(HELPERS, len(others)))
+        asked = gossip.IndirectPingAsked(number=number, subject=subject)
+        for helper in helpers:
+            self.transport.try_send(helper, asked)
+
+    def _ask_seeds(self) -> None:
+        own = self.table.rumour_of(self.table.own.address)
+        for seed in self.seeds:
+            self.transport.try_send(seed, gossip.TableAsked(rumours=(own,)))
+
+    def _compare_tables(self, peer: str, digest: int) -> None:
+        now = monotonic()
+        is_due = now - self.table_asked_at >= TABLE_ASK_SECONDS
+        if digest == self.table.digest or not is_due:
+            return
+        self.table_asked_at = now
+        own = self.table.rumour_of(self.table.own.address)
+        self.transport.try_send(peer, gossip.TableAsked(rumours=(own,)))
+
+    def _merge(self, rumours: tuple[gossip.Rumour, ...]) -> None:
+        now = monotonic()
+        for rumour in rumours:
+            self.table.merge(rumour, now)
+        self._refresh_view()
+
+    def _spread_now(self) -> None:
+        self._refresh_view()
+        peers = self.table.peers()
+        chosen = self.rng.sample(peers, min(URGENT_FANOUT, len(peers)))
+        now = monotonic()
+        for peer in chosen:
+            self._ping(peer, now)
+
+    def _refresh_view(self) -> None:
+        if self.seen_changes != self.table.changes:
+            self.view = self._make_view()
+
+    def _make_view(self) -> FleetView:
+        self.seen_changes = self.table.changes
+        nodes = tuple(self.table.living())
+        holders = {
+            (node.region, group): node.address
+            for node in nodes
+            for group in node.rate_groups
+        }
+        return FleetView(
+            nodes=nodes,
+            by_address={node.address: node for node in nodes},
+            suspects=frozenset(self.table.suspects()),
+            holders=holders,
+            changes=self.table.changes,
+        )
--- /dev/null
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -0,0 +1,603 @@
+"""The owner service: the only way to the upstreams beside this node.
+
+One task alone knows the slots in use and what became of each request, so its
+word is exact. Calls to upstreams and large sends run on worker threads, which
+report back to the task's inbox.
+"""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+from time import monotonic
+from typing import TYPE_CHECKING
+
+import msgspec
+from kumquathold_core import assembly, crashes, turns, wire, work
+from kumquathold_core.memory import Entry, RequestMemory, State
+from kumquathold_core.work import Outcome, Refusal
+from loguru import logger
+
+from kumquathold_node import claims_service
+from kumquathold_node.announcements import Announced
+from kumquathold_node.configuration import ConfigurationService
+from kumquathold_node.kernel import Kernel, Task
+from kumquathold_node.membership import Membership, UpstreamsChanged
+from kumquathold_node.metrics import Metrics
+from kumquathold_node.transport import LinkFull, Transport
+from kumquathold_node.upstream_calls import (
+    CallFailed,
+    UpstreamAnswer,
+    UpstreamCalls,
+)
+
+if TYPE_CHECKING:
+    from kumquathold_core.identity import RequestId, UpstreamRecord
+    from kumquathold_core.wire import Envelope
+
+TICK_SECONDS = 0.25
+WORKER_THREADS = 64
+OVERLOAD_RETRY_SECONDS = 1.0
+QUEUE_SHARE_OF_DEADLINE = 0.5
+
+
+class Job(msgspec.Struct, eq=False):
+    """A request at this owner."""
+
+    work: work.WorkRequested
+    """What the ingress asked for."""
+
+    reply_to: str
+    """Peer address of the ingress."""
+
+    queued_at: float
+    """Own monotonic clock, in seconds."""
+
+    body: bytes = b''
+    """The whole body, once it is there."""
+
+    started_at: float = 0.0
+    """When it got its slot."""
+
+    @property
+    def request(self) -> RequestId:
+        """Names the sending."""
+        return self.work.request
+
+    @property
+    def fingerprint(self) -> bytes:
+        """Equal for its repetitions."""
+        return crashes.fingerprint_request(
+            self.work.workspace,
+            self.work.method,
+            self.work.target,
+            self.work.body_digest,
+        )
+
+
+class Upstream:
+    """An upstream beside this node."""
+
+    __slots__ = ('calls', 'expires_at', 'in_use', 'queue', 'record')
+
+    def __init__(self, record: UpstreamRecord, expires_at: float) -> None:
+        """Start with nothing in hand."""
+        self.record = record
+        self.expires_at = expires_at
+        self.calls = UpstreamCalls(record.name)
+        self.queue: turns.TurnQueue[Job] = turns.TurnQueue()
+        self.in_use = 0
+
+
+class CallAnswered(msgspec.Struct, frozen=True):
+    """An upstream answered."""
+
+    job: Job
+    """The request."""
+
+    answer: UpstreamAnswer
+    """Its answer."""
+
+
+class CallEndedWithout(msgspec.Struct, frozen=True):
+    """A call to an upstream gave no answer."""
+
+    job: Job
+    """The request."""
+
+    failure: CallFailed
+    """What is known."""
+
+
+class LeavingBegun(msgspec.Struct, frozen=True):
+    """The own node is to take no new work."""
+
+
+class Owner:
+    """Owns the upstreams, their queues and the memory of requests."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        """Find the services that are needed, and register."""
+        self.transport: Transport = kernel.find('transport')
+        self.membership: Membership = kernel.find('membership')
+        self.configuration: ConfigurationService = kernel.find('configuration')
+        self.claims: claims_service.ClaimsService = kernel.find('claims')
+        self.metrics: Metrics = kernel.find('metrics')
+        self.memory = RequestMemory()
+        self.assembler = assembly.Assembler()
+        self.opening: dict[RequestId, Job] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self.jobs: dict[RequestId, Job] = {}
+        self.marks = crashes.CrashMarks()
+        self.is_leaving = False
+        self.workers = ThreadPoolExecutor(WORKER_THREADS, 'owner-worker')
+        self.task = Task(
+            'owner',
+            {
+                work.WorkRequested: self.on_work_requested,
+                work.RequestPieceSent: self.on_request_piece_sent,
+                work.InquiryMade: self.on_inquiry_made,
+                work.WorkCancelled: self.on_work_cancelled,
+                work.CrashSeen: self.on_crash_seen,
+                claims_service.ClaimGranted: self.on_claim_granted,
+                claims_service.ClaimRefused: self.on_claim_refused,
+                claims_service.OutcomeKept: self.on_outcome_kept,
+                CallAnswered: self.on_call_answered,
+                CallEndedWithout: self.on_call_ended_without,
+                Announced: self.on_announced,
+                LeavingBegun: self.on_leaving_begun,
+            },
+            tick=self.on_tick,
+            tick_seconds=TICK_SECONDS,
+        )
+        self.transport.deliver_to(
+            self.task,
+            work.WorkRequested,
+            work.RequestPieceSent,
+            work.InquiryMade,
+            work.WorkCancelled,
+            work.CrashSeen,
+        )
+        kernel.register('owner', self)
+        kernel.add_task(self.task)
+
+    @property
+    def in_hand(self) -> int:
+        """Requests that wait or run."""
+        return len(self.jobs) + len(self.opening)
+
+    def on_work_requested(self, envelope: Envelope[work.WorkRequested]) -> None:
+        """Take a request in, unless it was seen before."""
+        asked = envelope.message
+        now = monotonic()
+        job = Job(work=asked, reply_to=envelope.sender, queued_at=now)
+        if asked.owner_incarnation != self.transport.incarnation:
+            self._tell_failure(job, Outcome.not_run, Refusal.owner_restarted)
+            return
+        known = self.memory.admit(asked.request, now)
+        if known is not None:
+            self._tell_known(envelope.sender, asked.request, known)
+            return
+        self.opening[asked.request] = job
+        self._assemble(
+            asked.request,
+            lambda: self.assembler.announce(
+                asked.request,
+                asked.body_bytes,
+                asked.body_digest,
+                asked.body,
+                now,
+            ),
+        )
+
+    def on_request_piece_sent(
+        self, envelope: Envelope[work.RequestPieceSent]
+    ) -> None:
+        """Take a further piece of a request's body."""
+        piece = envelope.message
+        if piece.request not in self.opening:
+            known = self.memory.entries.get(piece.request)
+            if known is not None:
+                return
+        self._assemble(
+            piece.request,
+            lambda: self.assembler.add_piece(
+                piece.request,
+                piece.offset,
+                piece.chunk,
+                monotonic(),
+            ),
+        )
+
+    def on_inquiry_made(self, envelope: Envelope[work.InquiryMade]) -> None:
+        """Say what became of a request; an unseen one never runs."""
+        asked = envelope.message
+        if asked.owner_incarnation != self.transport.incarnation:
+            failure = _failure(
+                asked.request,
+                Outcome.unknown,
+                Refusal.owner_restarted,
+            )
+            self.transport.try_send(envelope.sender, failure)
+            return
+        entry = self.memory.refuse_forever(asked.request, monotonic())
+        self._tell_known(envelope.sender, asked.request, entry)
+
+    def on_work_cancelled(self, envelope: Envelope[work.WorkCancelled]) -> None:
+        """Stop a request whose caller has gone, where that does no harm."""
+        asked = envelope.message
+        entry = self.memory.refuse_forever(asked.request, monotonic())
+        partial = self.opening.pop(asked.request, None)
+        if partial is not None:
+            self.assembler.forget(asked.request)
+            self._fail(partial, Outcome.not_run, Refusal.cancelled)
+            return
+        job = self.jobs.get(asked.request)
+        if job is None:
+            self._tell_known(envelope.sender, asked.request, entry)
+            return
+        upstream = self.upstreams.get(job.work.upstream)
+        if upstream is None:
+            return
+        if upstream.queue.remove(job.work.workspace, job):
+            self.metrics.count('owner.cancelled.queued')
+            self._fail(job, Outcome.not_run, Refusal.cancelled)
+        elif not job.work.claim and upstream.calls.cancel(job.request):
+            self.metrics.count('owner.cancelled.running')
+
+    def on_crash_seen(self, envelope: Envelope[work.CrashSeen]) -> None:
+        """Remember what a peer saw."""
+        seen = envelope.message
+        self.marks.add(seen.fingerprint, seen.upstream, monotonic())
+
+    def on_announced(self, announced: Announced) -> None:
+        """Take in what an upstream says of itself."""
+        record = announced.record
+        upstream = self.upstreams.get(record.name)
+        if upstream is None:
+            upstream = Upstream(record, announced.expires_at)
+            self.upstreams[record.name] = upstream
+            self._tell_upstreams()
+        upstream.expires_at = announced.expires_at
+        if upstream.record != record:
+            upstream.record = record
+            self._tell_upstreams()
+        self._start_waiting(upstream)
+        announced.reply.set_result(
+            (upstream.in_use, upstream.queue.size),
+        )
+
+    def on_leaving_begun(self, _: LeavingBegun) -> None:
+        """Refuse new work from now on; what is in hand goes on."""
+        self.is_leaving = True
+
+    def on_claim_granted(self, granted: claims_service.ClaimGranted) -> None:
+        """Run a request whose claim is in place."""
+        self._call(granted.job)
+
+    def on_claim_refused(self, refused: claims_service.ClaimRefused) -> None:
+        """Tell what the claim says instead of running."""
+        job = refused.job
+        self._free_slot(job)
+        if refused.answer is None:
+            self._fail(job, refused.outcome, refused.reason)
+            return
+        kept = refused.answer
+        answer = UpstreamAnswer(
+            status=kept.status,
+            headers=kept.headers,
+            body=kept.body or b'',
+            seconds=0,
+        )
+        self._finish(job, answer, replayed=True)
+
+    def on_call_answered(self, answered: CallAnswered) -> None:
+        """Give the slot on, and the answer back."""
+        job = answered.job
+        self._free_slot(job)
+        self.metrics.time('owner.upstream', answered.answer.seconds)
+        if job.work.claim:
+            self.claims.keep_outcome(job, answered.answer)
+            return
+        self._finish(job, answered.answer, replayed=False)
+
+    def on_call_ended_without(self, ended: CallEndedWithout) -> None:
+        """Give the slot on, and say what is known."""
+        job = ended.job
+        failure = ended.failure
+        self._free_slot(job)
+        self.metrics.count(f'owner.failed.{failure.reason.value}')
+        if failure.crashed:
+            self._spread_crash(job)
+        if job.work.claim:
+            self.claims.keep_outcome(job, failure)
+            return
+        self._fail(
+            job,
+            failure.outcome,
+            failure.reason,
+            crashed=failure.crashed,
+        )
+
+    def on_outcome_kept(self, kept: claims_service.OutcomeKept) -> None:
+        """Answer a once-only request now that its outcome is kept."""
+        if isinstance(kept.ended, UpstreamAnswer):
+            self._finish(kept.job, kept.ended, replayed=False)
+            return
+        self._fail(
+            kept.job,
+            kept.ended.outcome,
+            kept.ended.reason,
+            crashed=kept.ended.crashed,
+        )
+
+    def on_tick(self) -> None:
+        """Drop what waited too long, vanished or never became whole."""
+        now = monotonic()
+        for request in self.assembler.expire(now):
+            job = self.opening.pop(request, None)  # type: ignore[call-overload]
+            if job is not None:
+                self._fail(job, Outcome.not_run, Refusal.malformed)
+        self.memory.expire(now)
+        for name, upstream in list(self.upstreams.items()):
+            self._start_waiting(upstream)
+            is_silent = upstream.expires_at <= now
+            if is_silent and not upstream.in_use and not upstream.queue.size:
+                logger.info('upstream vanished', upstream=name)
+                upstream.calls.close()
+                self.upstreams.pop(name)
+                self._tell_upstreams()
+
+    def _assemble(
+        self,
+        request: RequestId,
+        take: assembly.Take,
+    ) -> None:
+        try:
+            body = take()
+        except assembly.AssemblyError as error:
+            logger.warning(
+                'body refused', request=str(request), cause=str(error)
+            )
+            self.metrics.count('owner.bodies_refused')
+            body = None
+            job = self.opening.pop(request, None)
+            if job is not None:
+                self._fail(job, Outcome.not_run, Refusal.malformed)
+        if body is None:
+            return
+        job = self.opening.pop(request, None)
+        if job is not None:
+            job.body = body
+            self._admit(job)
+
+    def _admit(self, job: Job) -> None:
+        refusal = self._find_refusal(job)
+        if refusal is not None:
+            self._fail(job, Outcome.not_run, refusal)
+            return
+        upstream = self.upstreams[job.work.upstream]
+        asked = job.work
+        if not upstream.queue.push(asked.workspace, asked.weight, job):
+            self._fail(job, Outcome.not_run, Refusal.overloaded)
+            return
+        self.jobs[job.request] = job
+        self._start_waiting(upstream)
+
+    def _find_refusal(self, job: Job) -> Refusal | None:
+        asked = job.work
+        upstream = self.upstreams.get(asked.upstream)
+        if monotonic() >= asked.deadline:
+            return Refusal.deadline_passed
+        if self.is_leaving:
+            return Refusal.node_leaving
+        if upstream is None or upstream.record.leaving:
+            return Refusal.upstream_leaving
+        if self._is_key_withdrawn(asked):
+            return Refusal.key_unknown
+        is_marked = self.marks.is_refused(job.fingerprint, monotonic())
+        if is_marked or asked.crashes >= crashes.MAX_CRASHES:
+            return Refusal.crashes_upstreams
+        return None
+
+    def _is_key_withdrawn(self, asked: work.WorkRequested) -> bool:
+        current = self.configuration.current
+        if not asked.key_id or current.version < asked.config_version:
+            return False
+        key = current.rules.keys.get(asked.key_id)
+        return key is None or key.workspace != asked.workspace
+
+    def _start_waiting(self, upstream: Upstream) -> None:
+        while upstream.in_use < upstream.record.slots:
+            job = upstream.queue.pop()
+            if job is None:
+                return
+            self._start(upstream, job)
+
+    def _start(self, upstream: Upstream, job: Job) -> None:
+        now = monotonic()
+        waited = now - job.queued_at
+        patience = job.work.deadline - job.queued_at
+        self.metrics.time('owner.queue', waited)
+        if waited > patience * QUEUE_SHARE_OF_DEADLINE:
+            self._fail(job, Outcome.not_run, Refusal.overloaded)
+            return
+        if self._is_key_withdrawn(job.work):
+            self._fail(job, Outcome.not_run, Refusal.key_unknown)
+            return
+        job.started_at = now
+        upstream.in_use += 1
+        self.memory.start(job.request)
+        if job.work.claim:
+            self.claims.claim(job)
+        else:
+            self._call(job)
+
+    def _call(self, job: Job) -> None:
+        upstream = self.upstreams[job.work.upstream]
+        self.workers.submit(self._run_call, upstream.calls, job)
+
+    def _run_call(self, calls: UpstreamCalls, job: Job) -> None:
+        try:
+            answer = calls.run(job.work, job.body)
+        except CallFailed as failure:
+            self.task.post(CallEndedWithout(job, failure))
+            return
+        except Exception:
+            logger.exception('call failed', request=str(job.request))
+            unexplained = CallFailed(
+                Outcome.unknown,
+                Refusal.upstream_failed,
+            )
+            self.task.post(CallEndedWithout(job, unexplained))
+            return
+        self.task.post(CallAnswered(job, answer))
+
+    def _free_slot(self, job: Job) -> None:
+        upstream = self.upstreams.get(job.work.upstream)
+        if upstream is not None:
+            upstream.in_use -= 1
+            self._start_waiting(upstream)
+
+    def _finish(
+        self,
+        job: Job,
+        ended: UpstreamAnswer,
+        *,
+        replayed: bool,
+    ) -> None:
+        upstream = self.upstreams.get(job.work.upstream)
+        first, _ = assembly.split_body(ended.body)
+        answer = work.AnswerReady(
+            request=job.request,
+            status=ended.status,
+            headers=ended.headers,
+            service_seconds=ended.seconds,
+            queued_seconds=job.started_at - job.queued_at,
+            in_use=upstream.in_use if upstream else 0,
+            replayed=replayed,
+            body_bytes=len(ended.body),
+            body_digest=wire.digest_body(ended.body),
+            body=first,
+        )
+        self.jobs.pop(job.request, None)
+        self.memory.keep_answer(answer, ended.body)
+        self._send_answer(job.reply_to, answer, ended.body)
+
+    def _fail(
+        self,
+        job: Job,
+        outcome: Outcome,
+        reason: Refusal,
+        *,
+        crashed: bool = False,
+    ) -> None:
+        self.metrics.count(f'owner.refused.{reason.value}')
+        self.jobs.pop(job.request, None)
+        failure = _failure(job.request, outcome, reason, crashed=crashed)
+        self.memory.keep_failure(failure)
+        self.transport.try_send(job.reply_to, failure)
+
+    def _tell_failure(
+        self,
+        job: Job,
+        outcome: Outcome,
+        reason: Refusal,
+    ) -> None:
+        failure = _failure(job.request, outcome, reason)
+        self.transport.try_send(job.reply_to, failure)
+
+    def _tell_known(
+        self,
+        receiver: str,
+        request: RequestId,
+        entry: Entry,
+    ) -> None:
+        if entry.answer is None:
+            word = _describe_entry(request, entry)
+            self.transport.try_send(receiver, word)
+        else:
+            self._send_answer(receiver, entry.answer, entry.body)
+
+    def _send_answer(
+        self,
+        receiver: str,
+        answer: work.AnswerReady,
+        body: bytes,
+    ) -> None:
+        if len(body) <= work.PIECE_BYTES:
+            self.transport.try_send(receiver, answer)
+        else:
+            self.workers.submit(self._send_large, receiver, answer, body)
+
+    def _send_large(
+        self,
+        receiver: str,
+        answer: work.AnswerReady,
+        body: bytes,
+    ) -> None:
+        _, rest = assembly.split_body(body)
+        try:
+            self.transport.send_with_body(
+                receiver,
+                answer,
+                rest,
+                work.AnswerPieceSent,
+                answer.request,
+            )
+        except LinkFull:
+            self.metrics.count('owner.answers_not_sent')
+
+    def _spread_crash(self, job: Job) -> None:
+        count = self.marks.add(
+            job.fingerprint,
+            job.work.upstream,
+            monotonic(),
+        )
+        logger.warning(
+            'request crashed an upstream',
+            request=str(job.request),
+            upstream=job.work.upstream,
+            workspace=job.work.workspace,
+            crashes=count,
+        )
+        seen = work.CrashSeen(
+            fingerprint=job.fingerprint,
+            upstream=job.work.upstream,
+        )
+        for peer in self.membership.table.peers():
+            self.transport.try_send(peer, seen)
+
+    def _tell_upstreams(self) -> None:
+        records = tuple(one.record for one in self.upstreams.values())
+        self.membership.task.post(UpstreamsChanged(records))
+
+
+def _describe_entry(
+    request: RequestId,
+    entry: Entry,
+) -> work.WorkInHand | work.WorkFailed:
+    if entry.state in {State.queued, State.running}:
+        return work.WorkInHand(request=request)
+    if entry.failure is not None:
+        return entry.failure
+    if entry.state == State.refused_forever:
+        reason = Refusal.owner_unreachable
+        return _failure(request, Outcome.not_run, reason)
+    return _failure(request, Outcome.ran, Refusal.answer_not_kept)
+
+
+def _failure(
+    request: RequestId,
+    outcome: Outcome,
+    reason: Refusal,
+    *,
+    crashed: bool = False,
+) -> work.WorkFailed:
+    is_overload = reason in {Refusal.overloaded, Refusal.upstream_shed}
+    return work.WorkFailed(
+        request=request,
+        outcome=outcome,
+        reason=reason,
+        retry_after=OVERLOAD_RETRY_SECONDS if is_overload else 0,
+        crashed=crashed,
+    )
--- /dev/null
+++ b/packages/node/src/kumquathold_node/transport.py
@@ -0,0 +1,265 @@
+"""Messages between nodes, by pynng.
+
+A node listens on one socket that only receives, and dials one socket that
+only sends for each peer it talks to. Nothing is sent again by itself: a
+message arrives at most once, possibly late, possibly never.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from time import monotonic
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import pynng
+from kumquathold_core import wire
+from loguru import logger
+
+from kumquathold_node.kernel import Task
+from kumquathold_node.metrics import Metrics
+
+if TYPE_CHECKING:
+    from kumquathold_core.identity import RequestId
+    from kumquathold_core.work import BodyPiece
+
+MAX_FRAME_BYTES = 1024 * 1024
+SEND_BUFFER_FRAMES = 64
+RECEIVE_BUFFER_FRAMES = 256
+BODY_SEND_TIMEOUT_MS = 2000
+RECONNECT_MIN_MS = 20
+RECONNECT_MAX_MS = 500
+RECEIVE_POLL_MS = 200
+IDLE_LINK_SECONDS = 60.0
+FORGERY_LOG_SECONDS = 1.0
+
+
+class TransportError(Exception):
+    """A message that was not sent."""
+
+
+class LinkFull(TransportError):
+    """The peer does not take what is sent to it."""
+
+
+class AddressInUse(TransportError):
+    """Another process listens on the address."""
+
+
+class Link(msgspec.Struct):
+    """The sending side towards one peer."""
+
+    socket: pynng.Push0
+    """Connects and reconnects by itself."""
+
+    used_at: float
+    """Own monotonic clock, in seconds, of the last send."""
+
+
+class Transport:
+    """Sends to peers, and hands what they send to the tasks that want it."""
+
+    def __init__(
+        self,
+        address: str,
+        incarnation: int,
+        secret: bytes,
+        metrics: Metrics,
+        dial: dict[str, str],
+    ) -> None:
+        """Open nothing yet; `listening` does."""
+        self.dial = dial
+        self.address = address
+        self.incarnation = incarnation
+        self.secret = secret
+        self.metrics = metrics
+        self.receivers: dict[type, Task] = {}
+        self.links: dict[str, Link] = {}
+        self.heard_at: dict[str, float] = {}
+        self.lock = threading.Lock()
+        self.is_open = True
+        self.forgery_logged_at = 0.0
+
+    def deliver_to(self, task: Task, *kinds: type) -> None:
+        """Have messages of these kinds put into a task's inbox."""
+        for kind in kinds:
+            self.receivers[kind] = task
+
+    def send(self, receiver: str, message: wire.Message) -> None:
+        """Send a small message without waiting; raises `LinkFull`."""
+        if receiver == self.address:
+            self._dispatch(self._envelop(message))
+            return
+        frame = wire.encode_frame(
+            self._envelop(message),
+            receiver,
+            self.secret,
+        )
+        self._push(receiver, frame, block=False)
+
+    def try_send(self, receiver: str, message: wire.Message) -> bool:
+        """Send a message that nobody misses; false where it was not sent."""
+        try:
+            self.send(receiver, message)
+        except LinkFull:
+            return False
+        return True
+
+    def send_with_body(
+        self,
+        receiver: str,
+        opening: wire.Message,
+        pieces: Iterator[tuple[int, bytes]],
+        kind: type[BodyPiece],
+        request: RequestId,
+    ) -> None:
+        """Send a message and the further pieces of its body.
+
+        Waits while the peer is slow to take them; raises `LinkFull` where it
+        takes nothing for `BODY_SEND_TIMEOUT_MS`.
+        """
+        self._send_waiting(receiver, opening)
+        for offset, chunk in pieces:
+            piece = kind(request=request, offset=offset, chunk=chunk)
+            self._send_waiting(receiver, piece)  # type: ignore[arg-type]
+
+    def reset(self, receiver: str) -> None:
+        """Drop the connection to a peer; the next send makes a new one."""
+        with self.lock:
+            link = self.links.pop(receiver, None)
+        if link is not None:
+            self.metrics.count('peers.connections_reset')
+            link.socket.close()
+
+    def last_heard(self, sender: str) -> float:
+        """Own monotonic clock, in seconds, of a peer's last message."""
+        return self.heard_at.get(sender, 0.0)
+
+    def close_idle(self) -> None:
+        """Close connections that nobody used lately."""
+        limit = monotonic() - IDLE_LINK_SECONDS
+        idle = [
+            address
+            for address, link in list(self.links.items())
+            if link.used_at < limit
+        ]
+        for address in idle:
+            self.reset(address)
+
+    @contextmanager
+    def listening(self) -> Iterator[None]:
+        """Receive while the block runs; close all sockets after it."""
+        listener = pynng.Pull0(
+            recv_timeout=RECEIVE_POLL_MS,
+            recv_max_size=MAX_FRAME_BYTES,
+            recv_buffer_size=RECEIVE_BUFFER_FRAMES,
+        )
+        try:
+            listener.listen(f'tcp://{self.address}')
+        except pynng.AddressInUse as error:
+            listener.close()
+            raise AddressInUse(self.address) from error
+        receiver = threading.Thread(
+            target=self._receive,
+            args=(listener,),
+            name='transport',
+            daemon=True,
+        )
+        receiver.start()
+        try:
+            yield
+        finally:
+            self.is_open = False
+            receiver.join()
+            listener.close()
+            for address in list(self.links):
+                self.reset(address)
+
+    def _envelop(self, message: wire.Message) -> wire.Envelope[Any]:
+        return wire.Envelope(
+            sender=self.address,
+            incarnation=self.incarnation,
+            message=message,
+        )
+
+    def _send_waiting(self, receiver: str, message: wire.Message) -> None:
+        if receiver == self.address:
+            self._dispatch(self._envelop(message))
+            return
+        frame = wire.encode_frame(
+            self._envelop(message),
+            receiver,
+            self.secret,
+        )
+        self._push(receiver, frame, block=True)
+
+    def _push(self, receiver: str, frame: bytes, *, block: bool) -> None:
+        link = self._link(receiver)
+        try:
+            link.socket.send(frame, block=block)
+        except (pynng.TryAgain, pynng.Timeout, pynng.Closed) as error:
+            self.metrics.count('peers.not_sent')
+            raise LinkFull(receiver) from error
+        self.metrics.count('peers.sent')
+        self.metrics.count('peers.sent_bytes', len(frame))
+
+    def _link(self, receiver: str) -> Link:
+        with self.lock:
+            link = self.links.get(receiver)
+            if link is None:
+                target = self.dial.get(receiver, receiver)
+                link = Link(_dial(target), monotonic())
+                self.links[receiver] = link
+            link.used_at = monotonic()
+            return link
+
+    def _receive(self, listener: pynng.Pull0) -> None:
+        while self.is_open:
+            try:
+                frame = listener.recv()
+            except pynng.Timeout:
+                continue
+            except pynng.NNGException as error:
+                logger.warning('receive failed', cause=repr(error))
+                continue
+            self._take(frame)
+
+    def _take(self, frame: bytes) -> None:
+        try:
+            envelope = wire.decode_frame(frame, self.address, self.secret)
+        except wire.WireError as error:
+            self._report_refused(error)
+            return
+        self.metrics.count('peers.received')
+        self.metrics.count('peers.received_bytes', len(frame))
+        self.heard_at[envelope.sender] = monotonic()
+        self._dispatch(envelope)
+
+    def _dispatch(self, envelope: wire.Envelope[Any]) -> None:
+        task = self.receivers.get(type(envelope.message))
+        if task is not None:
+            task.post(envelope)
+
+    def _report_refused(self, error: wire.WireError) -> None:
+        self.metrics.count(f'peers.refused.{type(error).__name__}')
+        now = monotonic()
+        if now - self.forgery_logged_at >= FORGERY_LOG_SECONDS:
+            self.forgery_logged_at = now
+            logger.warning(
+                'frame refused',
+                reason=type(error).__name__,
+                detail=str(error),
+            )
+
+
+def _dial(receiver: str) -> pynng.Push0:
+    socket = pynng.Push0(
+        send_timeout=BODY_SEND_TIMEOUT_MS,
+        send_buffer_size=SEND_BUFFER_FRAMES,
+        reconnect_time_min=RECONNECT_MIN_MS,
+        reconnect_time_max=RECONNECT_MAX_MS,
+    )
+    socket.dial(f'tcp://{receiver}', block=False)
+    return socket
--- /dev/null
+++ b/packages/standins/src/kumquathold_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for tests, the demo and the measurements."""
--- /dev/null
+++ b/packages/standins/src/kumquathold_standins/relay.py
@@ -0,0 +1,169 @@
+"""A relay between processes: delays, one-way cuts and silent connections.
+
+Each link is a listener of its own that forwards to one address. A cut link
+loses what is sent over it while its connections stay open, as when something
+between the ends has lost track of them; new connections to a cut link are
+taken and stay silent too, unless only the old ones are silenced.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+CHUNK_BYTES = 64 * 1024
+START_SECONDS = 5.0
+
+
+class Link:
+    """One way from one process to another."""
+
+    def __init__(self, listen: str, target: str, delay: float) -> None:
+        """Forward everything to begin with."""
+        self.listen = listen
+        self.target = target
+        self.delay = delay
+        self.is_cut = False
+        self.generation = 0
+        self.bytes = 0
+
+    def cut(self) -> None:
+        """Lose what is sent from now on, on old and new connections."""
+        self.is_cut = True
+
+    def heal(self) -> None:
+        """Forward again, on new connections only."""
+        self.is_cut = False
+        self.generation += 1
+
+    def silence(self) -> None:
+        """Lose what is sent on the connections open now; new ones work."""
+        self.generation += 1
+
+
+class Relay:
+    """All links, served by one event loop on a thread of its own."""
+
+    def __init__(self) -> None:
+        """Start without links."""
+        self.loop = asyncio.new_event_loop()
+        self.links: dict[tuple[str, str], Link] = {}
+
+    def add(self, name: tuple[str, str], link: Link) -> None:
+        """Open a link."""
+        self.links[name] = link
+        future = asyncio.run_coroutine_threadsafe(
+            self._serve(link),
+            self.loop,
+        )
+        future.result(START_SECONDS)
+
+    def between(self, first: set[str], second: set[str]) -> list[Link]:
+        """The links from one set of processes to another."""
+        return [
+            link
+            for (sender, receiver), link in self.links.items()
+            if sender in first and receiver in second
+        ]
+
+    @contextmanager
+    def running(self) -> Iterator[Relay]:
+        """Serve while the block runs."""
+        thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        thread.start()
+        try:
+            yield self
+        finally:
+            self.loop.call_soon_threadsafe(self.loop.stop)
+            thread.join()
+
+    async def _serve(self, link: Link) -> None:
+        host, _, port = link.listen.rpartition(':')
+
+        async def forward(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await _forward(link, reader, writer)
+
+        await asyncio.start_server(forward, host, int(port))
+
+
+async def _forward(
+    link: Link,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    host, _, port = link.target.rpartition(':')
+    try:
+        there, back = await asyncio.open_connection(host, int(port))
+    except OSError:
+        writer.close()
+        return
+    outward = Direction(link, reader, back)
+    inward = Direction(link, there, writer)
+    await asyncio.gather(outward.pump(), inward.pump())
+
+
+class Direction:
+    """One direction of one connection; delays keep the order."""
+
+    def __init__(
+        self,
+        link: Link,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Take both ends."""
+        self.link = link
+        self.generation = link.generation
+        self.reader = reader
+        self.writer = writer
+        self.pending: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue()
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether what is sent goes nowhere."""
+        return self.link.is_cut or self.link.generation != self.generation
+
+    async def pump(self) -> None:
+        """Forward until one end closes."""
+        delivery = asyncio.create_task(self._deliver_all())
+        chunk = b'-'
+        while chunk:
+            chunk = await self._read()
+            due_at = asyncio.get_running_loop().time() + self.link.delay
+            self.pending.put_nowait((due_at, chunk))
+        await delivery
+
+    async def _read(self) -> bytes:
+        try:
+            return await self.reader.read(CHUNK_BYTES)
+        except OSError:
+            return b''
+
+    async def _deliver_all(self) -> None:
+        is_open = True
+        while is_open:
+            due_at, chunk = await self.pending.get()
+            await asyncio.sleep(
+                max(0, due_at - asyncio.get_running_loop().time()),
+            )
+            if not self.is_lost:
+                is_open = await self._deliver(chunk)
+            elif not chunk:
+                is_open = False
+
+    async def _deliver(self, chunk: bytes) -> bool:
+        if not chunk:
+            self.writer.close()
+            return False
+        self.link.bytes += len(chunk)
+        try:
+            self.writer.write(chunk)
+            await self.writer.drain()
+        except OSError:
+            return False
+        return True
