--- a/packages/cli/src/kumquathold_cli/main.py
+++ b/packages/cli/src/kumquathold_cli/main.py
@@ -378,3 +378,7 @@
         click.echo(f'not yet in force on {address}', err=True)
     if missing:
         sys.exit(EXIT_NOT_EVERYWHERE)
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/standins/src/kumquathold_standins/platform.py
+++ b/packages/standins/src/kumquathold_standins/platform.py
@@ -233,6 +233,8 @@
     """Serves the store."""
 
     protocol_version = 'HTTP/1.1'
+    wbufsize = -1
+    disable_nagle_algorithm = True
     store: Store
 
     def do_GET(self) -> None:  # noqa: N802
--- a/packages/standins/src/kumquathold_standins/upstream.py
+++ b/packages/standins/src/kumquathold_standins/upstream.py
@@ -112,6 +112,8 @@
     """Runs requests."""
 
     protocol_version = 'HTTP/1.1'
+    wbufsize = -1
+    disable_nagle_algorithm = True
     bench: Bench
 
     def handle_any(self) -> None:
