Recover from connections that fall silent one way

Cause, seen with a relay that loses what one node sends: after a one-way cut healed, the old connection stayed silent for good. A node reset its link to a peer only while it heard nothing from it, but the other direction went on working; and once both ends believed each other dead, neither sent heartbeats again. A rate holder behind such a link made requests fail as 'rate-exceeded'. Ruled out: the relay (new connections were forwarded), the owner (it answered on a fresh link). Change: an unanswered heartbeat resets the own link; dead members are tried once a second and told what is believed of them; a silent holder is asked again on a new connection, and 'rate-exceeded' is said only where a holder said so.

--- a/packages/core/src/kumquathold_core/members.py
+++ b/packages/core/src/kumquathold_core/members.py
@@ -16,7 +16,7 @@
 from kumquathold_core.identity import NodeRecord
 
 SUSPICION_SECONDS = 2.0
-DEAD_KEPT_SECONDS = 600.0
+DEAD_KEPT_SECONDS = 7200.0
 RETRANSMIT_FACTOR = 4
 MAX_RUMOURS = 8
 
@@ -78,6 +78,19 @@
             if member.health == Health.suspect
         ]
 
+    def dead(self) -> list[str]:
+        """Addresses of the nodes that are believed dead."""
+        return [
+            address
+            for address, member in self.members.items()
+            if member.health == Health.dead
+        ]
+
+    def is_doubted(self, address: str) -> bool:
+        """Whether a known node is believed suspect or dead."""
+        member = self.members.get(address)
+        return member is not None and member.health != Health.alive
+
     def peers(self) -> list[str]:
         """Addresses of the other nodes that are not believed dead."""
         return [
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -33,6 +33,7 @@
 TABLE_RECORDS = 32
 TABLE_ASK_SECONDS = 2.0
 URGENT_FANOUT = 16
+DEAD_PING_SECONDS = 1.0
 
 
 class UpstreamsChanged(msgspec.Struct, frozen=True):
@@ -131,6 +132,7 @@
         self.number = 0
         self.seeds: tuple[str, ...] = ()
         self.table_asked_at = -TABLE_ASK_SECONDS
+        self.dead_pinged_at = 0.0
         self.seen_changes = -1
         self.rng = random.Random(own.incarnation)
         self.view = self._make_view()
@@ -191,6 +193,9 @@
         peer = self._next_turn()
         if peer is not None:
             self._ping(peer, now)
+        if now - self.dead_pinged_at >= DEAD_PING_SECONDS:
+            self.dead_pinged_at = now
+            self._ping_dead(now)
         self.transport.close_idle()
         self._refresh_view()
 
@@ -205,7 +210,7 @@
             clock=monotonic(),
             table_digest=self.table.digest,
             freshness=self.freshness.describe(),
-            rumours=self.table.take_rumours(),
+            rumours=self._rumours_for(envelope.sender),
         )
         self.transport.try_send(envelope.sender, pong)
         self.freshness.hear_version(envelope.sender, ping.freshness)
@@ -245,7 +250,12 @@
     ) -> None:
         """Try a third node for one that cannot reach it."""
         asked = envelope.message
-        ping = self._make_ping(0, envelope.sender, asked.number)
+        ping = self._make_ping(
+            asked.subject,
+            0,
+            envelope.sender,
+            asked.number,
+        )
         self.transport.try_send(asked.subject, ping)
 
     def on_indirect_pong_sent(
@@ -302,8 +312,16 @@
         self.awaited.setdefault(wanted.peer, []).append(wanted.reply)
         self._ping(wanted.peer, monotonic())
 
+    def _rumours_for(self, peer: str) -> tuple[gossip.Rumour, ...]:
+        """What to tell a peer: also that it is believed dead, to refute."""
+        rumours = self.table.take_rumours()
+        if self.table.is_doubted(peer):
+            return (*rumours, self.table.rumour_of(peer))
+        return rumours
+
     def _make_ping(
         self,
+        peer: str,
         number: int,
         on_behalf_of: str = '',
         origin_number: int = 0,
@@ -314,13 +332,19 @@
             origin_number=origin_number,
             table_digest=self.table.digest,
             freshness=self.freshness.describe(),
-            rumours=self.table.take_rumours(),
+            rumours=self._rumours_for(peer),
         )
 
     def _ping(self, peer: str, now: float) -> None:
         self.number += 1
         self.heartbeats[self.number] = Heartbeat(peer, now)
-        self.transport.try_send(peer, self._make_ping(self.number))
+        self.transport.try_send(peer, self._make_ping(peer, self.number))
+
+    def _ping_dead(self, now: float) -> None:
+        """Try a node believed dead: both sides of a cut may believe it."""
+        dead = self.table.dead()
+        if dead:
+            self._ping(self.rng.choice(dead), now)
 
     def _next_turn(self) -> str | None:
         if not self.turns:
@@ -333,6 +357,7 @@
             age = now - heartbeat.sent_at
             if age >= DIRECT_SECONDS + INDIRECT_SECONDS:
                 self.heartbeats.pop(number)
+                self.transport.reset(heartbeat.peer)
                 if self.table.suspect(heartbeat.peer, now):
                     logger.info('node suspected', peer=heartbeat.peer)
             elif age >= DIRECT_SECONDS and not heartbeat.is_indirect:
@@ -340,8 +365,6 @@
                 self._ask_helpers(number, heartbeat.peer)
 
     def _ask_helpers(self, number: int, subject: str) -> None:
-        if monotonic() - self.transport.last_heard(subject) > 1:
-            self.transport.reset(subject)
         others = [one for one in self.table.peers() if one != subject]
         helpers = self.rng.sample(others, min(HELPERS, len(others)))
         asked = gossip.IndirectPingAsked(number=number, subject=subject)
--- a/packages/node/src/kumquathold_node/rates.py
+++ b/packages/node/src/kumquathold_node/rates.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from concurrent.futures import Future
 from time import monotonic
@@ -48,6 +49,7 @@
 NOT_HOLDER_SECONDS = 0.25
 MAX_BLOCK_SECONDS = 1.0
 MAX_WAITING = 8
+EMPTY_MEMORY_SECONDS = 1.0
 FORGET_SECONDS = 5.0
 STOP_SECONDS = 2.0
 
@@ -407,7 +409,7 @@
 class Account:
     """What this ingress has of one workspace's tokens."""
 
-    __slots__ = ('asks', 'blocked', 'purse', 'waiting')
+    __slots__ = ('asks', 'blocked', 'empty_at', 'purse', 'silent', 'waiting')
 
     def __init__(self, now: float) -> None:
         """Start with nothing."""
@@ -415,6 +417,8 @@
         self.waiting: deque[Waiting] = deque()
         self.asks: dict[int, Ask] = {}
         self.blocked: dict[str, float] = {}
+        self.silent: set[str] = set()
+        self.empty_at = -math.inf
 
 
 class RateDrawer:
@@ -470,6 +474,7 @@
         if account is None or ask is None:
             return
         now = monotonic()
+        account.silent.discard(envelope.sender)
         if given.tokens:
             account.purse.add(
                 DrawnLot(
@@ -480,6 +485,7 @@
                 ),
             )
         elif given.is_holder:
+            account.empty_at = now
             account.blocked[envelope.sender] = now + given.retry_after
         else:
             account.blocked[envelope.sender] = now + NOT_HOLDER_SECONDS
@@ -519,14 +525,26 @@
                 account.asks.pop(number)
             elif age >= ASK_PATIENCE_SECONDS and not ask.is_late:
                 ask.is_late = True
-                account.blocked[ask.holder] = now + SILENT_HOLDER_SECONDS
-                self.metrics.count('rates.holder_silent')
+                self._note_silence(account, ask.holder, now)
+
+    def _note_silence(
+        self,
+        account: Account,
+        holder: str,
+        now: float,
+    ) -> None:
+        """Ask once more on a new connection, then leave the holder alone."""
+        self.metrics.count('rates.holder_silent')
+        self.transport.reset(holder)
+        if holder in account.silent:
+            account.blocked[holder] = now + SILENT_HOLDER_SECONDS
+        account.silent.add(holder)
 
     def _refuse_late(self, account: Account, now: float) -> None:
         while account.waiting and account.waiting[0].give_up_at <= now:
-            is_known = bool(account.blocked)
+            is_empty = now - account.empty_at <= EMPTY_MEMORY_SECONDS
             account.waiting.popleft().reply.set_result(
-                Refusal.rate_exceeded if is_known else Refusal.rate_unavailable,
+                Refusal.rate_exceeded if is_empty else Refusal.rate_unavailable,
             )
 
     def _draw(self, name: str, account: Account, now: float) -> None:
--- a/packages/node/src/kumquathold_node/upstream_calls.py
+++ b/packages/node/src/kumquathold_node/upstream_calls.py
@@ -163,6 +163,9 @@
         body: bytes,
     ) -> UpstreamAnswer:
         started = monotonic()
+        if started >= work.deadline:
+            connection.close()
+            raise CallFailed(Outcome.not_run, Refusal.deadline_passed)
         with self.lock:
             self.running[work.request] = connection
         try:
--- a/packages/standins/src/kumquathold_standins/fleet.py
+++ b/packages/standins/src/kumquathold_standins/fleet.py
@@ -369,6 +369,16 @@
         for link in self._links(senders, receivers):
             link.silence()
 
+    def stall(self, senders: list[Node], receivers: list[Node]) -> None:
+        """Hold back what is sent on the open connections between nodes."""
+        for link in self._links(senders, receivers):
+            link.stall()
+
+    def release(self) -> None:
+        """Deliver what was held back."""
+        for link in self.relay.links.values():
+            link.release()
+
     def in_region(self, region: str) -> list[Node]:
         """The nodes of a region."""
         return [node for node in self.nodes if node.vm.region == region]
--- a/packages/standins/src/kumquathold_standins/relay.py
+++ b/packages/standins/src/kumquathold_standins/relay.py
@@ -15,6 +15,7 @@
 
 CHUNK_BYTES = 64 * 1024
 START_SECONDS = 5.0
+STALL_POLL_SECONDS = 0.01
 
 
 class Link:
@@ -27,6 +28,7 @@
         self.delay = delay
         self.is_cut = False
         self.generation = 0
+        self.stalled_generation = -1
         self.bytes = 0
 
     def cut(self) -> None:
@@ -38,6 +40,15 @@
         self.is_cut = False
         self.generation += 1
 
+    def stall(self) -> None:
+        """Hold back what is sent on the connections open now."""
+        self.stalled_generation = self.generation
+        self.generation += 1
+
+    def release(self) -> None:
+        """Deliver what was held back, however late."""
+        self.stalled_generation = -1
+
     def silence(self) -> None:
         """Lose what is sent on the connections open now; new ones work."""
         self.generation += 1
@@ -119,14 +130,21 @@
         """Take both ends."""
         self.link = link
         self.generation = link.generation
+        self.was_stalled = False
         self.reader = reader
         self.writer = writer
         self.pending: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue()
 
+    @property
+    def is_stalled(self) -> bool:
+        """Whether what is sent is held back."""
+        return self.link.stalled_generation == self.generation
+
     @property
     def is_lost(self) -> bool:
         """Whether what is sent goes nowhere."""
-        return self.link.is_cut or self.link.generation != self.generation
+        is_old = self.link.generation != self.generation
+        return self.link.is_cut or (is_old and not self.was_stalled)
 
     async def pump(self) -> None:
         """Forward until one end closes."""
@@ -151,6 +169,9 @@
             await asyncio.sleep(
                 max(0, due_at - asyncio.get_running_loop().time()),
             )
+            while self.is_stalled:
+                self.was_stalled = True
+                await asyncio.sleep(STALL_POLL_SECONDS)
             if not self.is_lost:
                 is_open = await self._deliver(chunk)
             elif not chunk:
--- a/tests/support.py
+++ b/tests/support.py
@@ -29,6 +29,7 @@
         f'route GET /listings/* service=listings public{ASKED}',
         f'route GET /diffs/* service=listings deadline=5s{ASKED}',
         f'route POST /notes service=holds deadline=5s{ASKED}',
+        f'route POST /open-notes service=holds public deadline=5s{ASKED}',
         f'route POST /holds service=holds once deadline=8s{ASKED}',
         f'route PUT /files/* service=holds idempotent body=16MB{ASKED}',
         f'workspace dealers rate=2000 burst=2000{ASKED}',
