--- a/packages/cli/src/kumquathold_cli/changes.py
+++ b/packages/cli/src/kumquathold_cli/changes.py
@@ -9,9 +9,9 @@
 from typing import Any
 
 import msgspec
-from kumquathold_core import rules_file
 
 from kumquathold_cli.client import CallRefused, Client, NodeUnreachable
+from kumquathold_core import rules_file
 
 IN_FORCE_SECONDS = 15.0
 POLL_SECONDS = 0.2
--- a/packages/cli/src/kumquathold_cli/client.py
+++ b/packages/cli/src/kumquathold_cli/client.py
@@ -10,6 +10,7 @@
 from urllib.parse import urlencode
 
 import msgspec
+
 from kumquathold_core import operator_auth
 from kumquathold_core.operator_auth import Call
 
--- a/packages/cli/src/kumquathold_cli/keys.py
+++ b/packages/cli/src/kumquathold_cli/keys.py
@@ -6,6 +6,7 @@
 import secrets
 
 import msgspec
+
 from kumquathold_core.rules import KEY_PREFIX, digest_key
 
 ID_BYTES = 4
--- a/packages/cli/src/kumquathold_cli/main.py
+++ b/packages/cli/src/kumquathold_cli/main.py
@@ -11,12 +11,12 @@
 from typing import Any
 
 import click
-from kumquathold_core import rules_file
-from kumquathold_core.rules_file import RulesErrors
-from kumquathold_core.wire import SECRET_MAX_BYTES
 
 from kumquathold_cli import changes, keys
 from kumquathold_cli.client import Client, ClientError
+from kumquathold_core import rules_file
+from kumquathold_core.rules_file import RulesErrors
+from kumquathold_core.wire import SECRET_MAX_BYTES
 
 EXIT_FAILED = 1
 EXIT_RULES = 3
--- a/packages/node/src/kumquathold_node/acceptance.py
+++ b/packages/node/src/kumquathold_node/acceptance.py
@@ -7,11 +7,11 @@
 from time import monotonic, sleep
 
 import msgspec
+
 from kumquathold_core import manifest as manifests
 from kumquathold_core import platform_keys, rules_file
 from kumquathold_core.manifest import Manifest
 from kumquathold_core.routing import RouteTable
-
 from kumquathold_node import configuration
 from kumquathold_node.configuration import (
     Configuration,
--- a/packages/node/src/kumquathold_node/administration.py
+++ b/packages/node/src/kumquathold_node/administration.py
@@ -14,11 +14,11 @@
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
+from loguru import logger
+
 from kumquathold_core import operator_auth, routing
 from kumquathold_core.operator_auth import Call, CallChecker
 from kumquathold_core.rules_file import RulesErrors, list_errors
-from loguru import logger
-
 from kumquathold_node import acceptance, settlement
 from kumquathold_node.balancer import Balancer
 from kumquathold_node.callers import Door, StartResponse, WsgiApp
--- a/packages/node/src/kumquathold_node/announcements.py
+++ b/packages/node/src/kumquathold_node/announcements.py
@@ -16,8 +16,8 @@
 from typing import Any
 
 import msgspec
-from kumquathold_core.identity import UpstreamRecord
 
+from kumquathold_core.identity import UpstreamRecord
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.settings import SettingsError, parse_address
 
--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -12,11 +12,11 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+
 from kumquathold_core import balancing
 from kumquathold_core.balancing import Candidate, Load
 from kumquathold_core.ejection import Evidence
 from kumquathold_core.work import Refusal
-
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import FleetView, Membership
 from kumquathold_node.metrics import Metrics
--- a/packages/node/src/kumquathold_node/caller_requests.py
+++ b/packages/node/src/kumquathold_node/caller_requests.py
@@ -10,9 +10,9 @@
 from urllib.parse import unquote, urlsplit
 
 import msgspec
-from kumquathold_core.rules import KEY_PREFIX, Route
-from kumquathold_core.work import Headers, Outcome, Refusal
 
+from kumquathold_core.rules import KEY_PREFIX, Route, key_id_of
+from kumquathold_core.work import Headers, Outcome, Refusal
 from kumquathold_node.upstream_calls import (
     OUTCOME_HEADER,
     end_to_end,
@@ -176,7 +176,7 @@
 def refuse_exposed_key(request: CallerRequest) -> None:
     """Refuse a request that carries its key where an upstream would see it."""
     key = request.key
-    if not key:
+    if key_id_of(key) is None:
         return
     texts = [unquote(request.target), *(text for _, text in request.headers)]
     is_exposed = any(key in text for text in texts)
--- a/packages/node/src/kumquathold_node/callers.py
+++ b/packages/node/src/kumquathold_node/callers.py
@@ -13,9 +13,9 @@
 import waitress.channel
 import waitress.server
 import waitress.task
-from kumquathold_core.work import Refusal
 from loguru import logger
 
+from kumquathold_core.work import Refusal
 from kumquathold_node import caller_requests
 from kumquathold_node.caller_requests import (
     CallerAnswer,
--- a/packages/node/src/kumquathold_node/claims_service.py
+++ b/packages/node/src/kumquathold_node/claims_service.py
@@ -14,11 +14,11 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from loguru import logger
+
 from kumquathold_core import claims, platform_keys
 from kumquathold_core.claims import Claim, ClaimState, KeptAnswer
 from kumquathold_core.work import Outcome, Refusal
-from loguru import logger
-
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.platform import (
--- a/packages/node/src/kumquathold_node/configuration.py
+++ b/packages/node/src/kumquathold_node/configuration.py
@@ -12,14 +12,14 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from loguru import logger
+
 from kumquathold_core import manifest as manifests
 from kumquathold_core import platform_keys, rules_file, sharing
 from kumquathold_core.manifest import Manifest
 from kumquathold_core.routing import RouteTable
 from kumquathold_core.rules import EMPTY_RULES, Rules
 from kumquathold_core.work import PIECE_BYTES
-from loguru import logger
-
 from kumquathold_node import freshness_service
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.kernel import Kernel, Task
--- a/packages/node/src/kumquathold_node/exchanges.py
+++ b/packages/node/src/kumquathold_node/exchanges.py
@@ -13,9 +13,9 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from kumquathold_core import assembly, work
 from loguru import logger
 
+from kumquathold_core import assembly, work
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.transport import Transport
--- a/packages/node/src/kumquathold_node/freshness_service.py
+++ b/packages/node/src/kumquathold_node/freshness_service.py
@@ -9,7 +9,6 @@
 
 from kumquathold_core import members
 from kumquathold_core.freshness import FreshnessKeeper, Verdict
-
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.settings import Settings
 
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -10,6 +10,8 @@
 from time import monotonic
 
 import msgspec
+from loguru import logger
+
 from kumquathold_core import clocks, retries, routing, wire, work
 from kumquathold_core.assembly import split_body
 from kumquathold_core.freshness import Verdict
@@ -23,8 +25,6 @@
     authenticate_key,
 )
 from kumquathold_core.work import Outcome, Refusal
-from loguru import logger
-
 from kumquathold_node import caller_requests
 from kumquathold_node.balancer import Balancer, Choice
 from kumquathold_node.caller_requests import (
@@ -173,14 +173,15 @@
         route: Route,
         request: CallerRequest,
     ) -> tuple[Workspace | None, str]:
-        caller_requests.refuse_exposed_key(request)
         if route.public:
+            caller_requests.refuse_exposed_key(request)
             return None, ''
         if not request.key:
             raise Refused(Refusal.key_missing)
         key = authenticate_key(configuration.rules, request.key)
         if key is None:
             raise Refused(Refusal.key_unknown)
+        caller_requests.refuse_exposed_key(request)
         return configuration.rules.workspaces[key.workspace], key.id
 
     def _check_freshness(self, route: Route) -> None:
--- a/packages/node/src/kumquathold_node/kernel.py
+++ b/packages/node/src/kumquathold_node/kernel.py
@@ -13,9 +13,10 @@
 from time import monotonic
 from typing import Any
 
-from kumquathold_core.wire import Envelope
 from loguru import logger
 
+from kumquathold_core.wire import Envelope
+
 STOP_SECONDS = 5.0
 
 
--- a/packages/node/src/kumquathold_node/main.py
+++ b/packages/node/src/kumquathold_node/main.py
@@ -8,9 +8,9 @@
 from contextlib import ExitStack
 
 import click
-from kumquathold_core.identity import NodeRecord
 from loguru import logger
 
+from kumquathold_core.identity import NodeRecord
 from kumquathold_node import callers, logs
 from kumquathold_node import settings as node_settings
 from kumquathold_node.administration import make_administration_app
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -14,10 +14,10 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from kumquathold_core import gossip, members
-from kumquathold_core.clocks import ClockReading
 from loguru import logger
 
+from kumquathold_core import gossip, members
+from kumquathold_core.clocks import ClockReading
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.transport import Transport
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -12,11 +12,11 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from loguru import logger
+
 from kumquathold_core import assembly, crashes, turns, wire, work
 from kumquathold_core.memory import Entry, RequestMemory, State
 from kumquathold_core.work import Outcome, Refusal
-from loguru import logger
-
 from kumquathold_node import claims_service
 from kumquathold_node.announcements import Announced
 from kumquathold_node.configuration import ConfigurationService
--- a/packages/node/src/kumquathold_node/platform.py
+++ b/packages/node/src/kumquathold_node/platform.py
@@ -13,8 +13,8 @@
 from typing import TypeVar
 
 import msgspec
-from kumquathold_core import etcd
 
+from kumquathold_core import etcd
 from kumquathold_node.metrics import Metrics
 
 CALL_TIMEOUT_SECONDS = 1.0
--- a/packages/node/src/kumquathold_node/rates.py
+++ b/packages/node/src/kumquathold_node/rates.py
@@ -14,12 +14,12 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
+from loguru import logger
+
 from kumquathold_core import buckets, members, platform_keys, sharing
 from kumquathold_core.buckets import Bucket
 from kumquathold_core.purse import DrawnLot, Purse
 from kumquathold_core.work import Refusal
-from loguru import logger
-
 from kumquathold_node.configuration import ConfigurationService
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import GroupsHeld, Membership
--- a/packages/node/src/kumquathold_node/seeds.py
+++ b/packages/node/src/kumquathold_node/seeds.py
@@ -9,9 +9,9 @@
 import random
 
 import msgspec
-from kumquathold_core import platform_keys
 from loguru import logger
 
+from kumquathold_core import platform_keys
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import Membership, PeersGiven
 from kumquathold_node.platform import Platform, PlatformError, Stored, Write
--- a/packages/node/src/kumquathold_node/settings.py
+++ b/packages/node/src/kumquathold_node/settings.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import msgspec
+
 from kumquathold_core.wire import SECRET_MAX_BYTES, SECRET_MIN_BYTES
 
 MAX_PORT = 65535
--- a/packages/node/src/kumquathold_node/settlement.py
+++ b/packages/node/src/kumquathold_node/settlement.py
@@ -5,9 +5,9 @@
 import enum
 
 import msgspec
+
 from kumquathold_core import claims, platform_keys
 from kumquathold_core.claims import Claim, ClaimState
-
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import Membership
 from kumquathold_node.platform import Platform, Write
--- a/packages/node/src/kumquathold_node/transport.py
+++ b/packages/node/src/kumquathold_node/transport.py
@@ -15,9 +15,9 @@
 
 import msgspec
 import pynng
-from kumquathold_core import wire
 from loguru import logger
 
+from kumquathold_core import wire
 from kumquathold_node.kernel import Task
 from kumquathold_node.metrics import Metrics
 
--- a/packages/node/src/kumquathold_node/upstream_calls.py
+++ b/packages/node/src/kumquathold_node/upstream_calls.py
@@ -13,6 +13,7 @@
 from time import monotonic
 
 import msgspec
+
 from kumquathold_core.work import Headers, Outcome, Refusal, WorkRequested
 
 CONNECT_TIMEOUT_SECONDS = 1.0
--- a/packages/standins/src/kumquathold_standins/caller.py
+++ b/packages/standins/src/kumquathold_standins/caller.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import msgspec
+
 from kumquathold_core.work import Outcome
 
 TIMEOUT_SECONDS = 30.0
--- a/packages/standins/src/kumquathold_standins/fleet.py
+++ b/packages/standins/src/kumquathold_standins/fleet.py
@@ -22,10 +22,10 @@
 from typing import Any
 
 import msgspec
+
 from kumquathold_cli import changes
 from kumquathold_cli.client import Client, ClientError
 from kumquathold_core.buckets import GRANT_SECONDS
-
 from kumquathold_standins import platform as platform_standin
 from kumquathold_standins.relay import Link, Relay
 from kumquathold_standins.upstream import Behaviour, Run
@@ -35,6 +35,7 @@
 START_SECONDS = 30.0
 STOP_SECONDS = 15.0
 POLL_SECONDS = 0.05
+STORE = 'store'
 RATE_MARGIN_SECONDS = 0.3
 FLEET_SECRET = 'fleet-secret-of-the-stand-in-fleet'
 OPERATOR_SECRET = 'operator-secret-of-the-stand-in-fleet'
@@ -275,7 +276,8 @@
         peers = [local(ports[0]) for _, ports in plans]
         for number, (vm, ports) in enumerate(plans):
             dial = self._make_links(number, peers)
-            self.nodes.append(self._start_node(number, vm, ports, dial))
+            store = self._make_store_link(peers[number])
+            self.nodes.append(self._start_node(number, vm, ports, dial, store))
         wait_until(self._all_open, 'administration of all nodes')
         for node in self.nodes:
             for service in node.vm.services:
@@ -358,6 +360,11 @@
         for link in self._links(senders, receivers):
             link.cut()
 
+    def cut_store(self, nodes: list[Node]) -> None:
+        """Keep nodes from the platform."""
+        for link in self.relay.between({one.peer for one in nodes}, {STORE}):
+            link.cut()
+
     def heal(self) -> None:
         """Forward everything again."""
         for link in self.relay.links.values():
@@ -409,12 +416,20 @@
             dial[peer] = link.listen
         return dial
 
+    def _make_store_link(self, peer: str) -> str:
+        if not self.spec.relayed:
+            return self.platform_address
+        link = Link(local(free_port()), self.platform_address, 0)
+        self.relay.add((peer, STORE), link)
+        return link.listen
+
     def _start_node(
         self,
         number: int,
         vm: Vm,
         ports: list[int],
         dial: dict[str, str],
+        store: str,
     ) -> Node:
         peer, callers, admin, announce = (local(port) for port in ports)
         process = self._spawn(
@@ -424,7 +439,7 @@
             callers=callers,
             admin=admin,
             announce=announce,
-            platform=self.platform_address,
+            platform=store,
             zone=vm.zone,
             region=vm.region,
             regions=','.join(self.spec.regions),
--- a/packages/standins/src/kumquathold_standins/platform.py
+++ b/packages/standins/src/kumquathold_standins/platform.py
@@ -16,6 +16,7 @@
 
 import click
 import msgspec
+
 from kumquathold_core import etcd
 
 WRITE_PATHS = frozenset(('/v3/kv/txn', '/v3/lease/grant'))
--- a/packages/standins/src/kumquathold_standins/relay.py
+++ b/packages/standins/src/kumquathold_standins/relay.py
@@ -61,6 +61,8 @@
         """Start without links."""
         self.loop = asyncio.new_event_loop()
         self.links: dict[tuple[str, str], Link] = {}
+        self.servers: list[asyncio.Server] = []
+        self.tasks: set[asyncio.Task[None] | None] = set()
 
     def add(self, name: tuple[str, str], link: Link) -> None:
         """Open a link."""
@@ -87,8 +89,11 @@
         try:
             yield self
         finally:
+            closing = asyncio.run_coroutine_threadsafe(self._close(), self.loop)
+            closing.result(START_SECONDS)
             self.loop.call_soon_threadsafe(self.loop.stop)
             thread.join()
+            self.loop.close()
 
     async def _serve(self, link: Link) -> None:
         host, _, port = link.listen.rpartition(':')
@@ -97,9 +102,24 @@
             reader: asyncio.StreamReader,
             writer: asyncio.StreamWriter,
         ) -> None:
+            # The loop itself keeps only weak references to its tasks.
+            self.tasks.add(asyncio.current_task())
             await _forward(link, reader, writer)
-
-        await asyncio.start_server(forward, host, int(port))
+            self.tasks.discard(asyncio.current_task())
+
+        server = await asyncio.start_server(forward, host, int(port))
+        self.servers.append(server)
+
+    async def _close(self) -> None:
+        """Take no new connections, and end all that are open."""
+        for server in self.servers:
+            server.close()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        while tasks:
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks)
+            tasks = asyncio.all_tasks() - {asyncio.current_task()}
 
 
 async def _forward(
--- a/tests/test_late_messages.py
+++ b/tests/test_late_messages.py
@@ -16,7 +16,6 @@
 )
 from tests.support import KEYS, make_rules
 
-
 NOTE_DEADLINE_SECONDS = 5.0
 
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -6,7 +6,6 @@
 
 from kumquathold_standins.caller import Caller
 from kumquathold_standins.fleet import running_fleet
-
 from tests.support import KEYS, make_rules, small_spec
 
 
