Stop poisonous requests after two upstreams; survive strangers' empty frames

Change: the first failure's outcome stands whatever the second try brings; the receiver refuses empty frames; an owner takes an upstream that refuses connections out of its record until it announces itself again, as the floor counts what is there; the ingress itself refuses large heads.

--- a/packages/core/src/kumquathold_core/work.py
+++ b/packages/core/src/kumquathold_core/work.py
@@ -31,6 +31,7 @@
     key_exposed = 'key-exposed'
     body_too_large = 'body-too-large'
     malformed = 'malformed-request'
+    head_too_large = 'head-too-large'
     idempotency_key_missing = 'idempotency-key-missing'
     idempotency_key_reused = 'idempotency-key-reused'
     in_progress = 'in-progress'
--- a/packages/node/src/kumquathold_node/caller_requests.py
+++ b/packages/node/src/kumquathold_node/caller_requests.py
@@ -25,6 +25,7 @@
 IDEMPOTENCY_HEADER = 'idempotency-key'
 REPLAYED_HEADER = 'Kumquathold-Replayed'
 MAX_REQUEST_ID = 128
+MAX_HEAD_BYTES = 32_768
 MIN_DEADLINE_SECONDS = 0.001
 OWN_HEADER_PREFIX = 'kumquathold-'
 
@@ -36,6 +37,7 @@
     Refusal.key_exposed: HTTPStatus.BAD_REQUEST,
     Refusal.body_too_large: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     Refusal.malformed: HTTPStatus.BAD_REQUEST,
+    Refusal.head_too_large: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
     Refusal.idempotency_key_missing: HTTPStatus.BAD_REQUEST,
     Refusal.idempotency_key_reused: HTTPStatus.UNPROCESSABLE_ENTITY,
     Refusal.in_progress: HTTPStatus.CONFLICT,
@@ -59,6 +61,7 @@
     Refusal.key_exposed: 'The key may only stand in its own header.',
     Refusal.body_too_large: 'The body is larger than the route takes.',
     Refusal.malformed: 'The request could not be read.',
+    Refusal.head_too_large: 'Target and headers are over 32 KB.',
     Refusal.idempotency_key_missing: 'This route needs an Idempotency-Key.',
     Refusal.idempotency_key_reused: (
         'This Idempotency-Key came with a different request before.'
@@ -157,6 +160,8 @@
     if not target.startswith('/') or not target.isascii():
         raise Refused(Refusal.malformed)
     headers = _read_headers(environ)
+    if _size_of(target, headers) > MAX_HEAD_BYTES:
+        raise Refused(Refusal.head_too_large)
     by_name = {name.lower(): text for name, text in headers}
     request_id = by_name.get(REQUEST_ID_HEADER, '')[:MAX_REQUEST_ID]
     key = _find_key(by_name)
@@ -246,6 +251,10 @@
     return headers
 
 
+def _size_of(target: str, headers: list[tuple[str, str]]) -> int:
+    return len(target) + sum(len(name) + len(text) for name, text in headers)
+
+
 def _find_key(by_name: dict[str, str]) -> str:
     authorization = by_name.get(AUTHORIZATION, '')
     bearer = ''
--- a/packages/node/src/kumquathold_node/callers.py
+++ b/packages/node/src/kumquathold_node/callers.py
@@ -27,7 +27,7 @@
 from kumquathold_node.metrics import Metrics
 
 MAX_BODY_BYTES = 67_108_864
-MAX_HEADER_BYTES = 32_768
+MAX_HEADER_BYTES = 262_144
 IN_MEMORY_BYTES = MAX_BODY_BYTES * 2
 CONNECTION_LIMIT = 4000
 IDLE_SECONDS = 60
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -306,6 +306,8 @@
         failure = ended.failure
         self._free_slot(job)
         self.metrics.count(f'owner.failed.{failure.reason.value}')
+        if failure.crashed or failure.reason == Refusal.upstream_unreachable:
+            self._note_down(job.work.upstream)
         if failure.crashed:
             self._spread_crash(job)
         if job.work.claim:
@@ -547,6 +549,21 @@
         except LinkFull:
             self.metrics.count('owner.answers_not_sent')
 
+    def _note_down(self, name: str) -> None:
+        """Take an upstream that refuses connections out until it announces.
+
+        That is no gray failure: the floor counts only what is there.
+        """
+        upstream = self.upstreams.get(name)
+        if upstream is None or not upstream.record.ready:
+            return
+        self.metrics.count('owner.upstreams_down')
+        upstream.record = msgspec.structs.replace(
+            upstream.record,
+            ready=False,
+        )
+        self._tell_upstreams()
+
     def _spread_crash(self, job: Job) -> None:
         count = self.marks.add(
             job.fingerprint,
--- a/packages/node/src/kumquathold_node/transport.py
+++ b/packages/node/src/kumquathold_node/transport.py
@@ -224,6 +224,10 @@
             except pynng.NNGException as error:
                 logger.warning('receive failed', cause=repr(error))
                 continue
+            except RuntimeError:
+                # The library cannot unpack a frame without any bytes.
+                self._report_refused(wire.ForgedFrame('empty frame'))
+                continue
             self._take(frame)
 
     def _take(self, frame: bytes) -> None:
--- a/packages/node/src/kumquathold_node/upstream_calls.py
+++ b/packages/node/src/kumquathold_node/upstream_calls.py
@@ -96,14 +96,15 @@
 
     def run(self, work: WorkRequested, body: bytes) -> UpstreamAnswer:
         """Run a request; raises `CallFailed`."""
-        if work.idempotent:
-            spare = self._take_idle()
-            if spare is not None:
-                try:
-                    return self._run_on(spare, work, body)
-                except CallFailed:
-                    spare.close()
-        return self._run_on(self._connect(), work, body)
+        spare = self._take_idle() if work.idempotent else None
+        if spare is None:
+            return self._run_on(self._connect(), work, body)
+        try:
+            return self._run_on(spare, work, body)
+        except CallFailed as failure:
+            if failure.crashed or failure.outcome != Outcome.unknown:
+                raise
+            return self._run_again(work, body, failure)
 
     def cancel(self, request: object) -> bool:
         """Close the connection of a running request; the upstream sees it."""
@@ -126,6 +127,25 @@
         for spare in spares:
             spare.connection.close()
 
+    def _run_again(
+        self,
+        work: WorkRequested,
+        body: bytes,
+        first: CallFailed,
+    ) -> UpstreamAnswer:
+        """Try a new connection after an idle one failed.
+
+        What failed first may have run, whatever becomes of the second.
+        """
+        try:
+            return self._run_on(self._connect(), work, body)
+        except CallFailed as second:
+            raise CallFailed(
+                first.outcome,
+                second.reason,
+                crashed=second.crashed,
+            ) from first
+
     def _connect(self) -> http.client.HTTPConnection:
         connection = http.client.HTTPConnection(
             self.address,
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,178 @@
+"""What callers of HTTP may expect."""
+
+from __future__ import annotations
+
+import http.client
+import socket
+import time
+import unittest
+
+from kumquathold_standins.caller import Caller
+from kumquathold_standins.fleet import Fleet, running_fleet, wait_until
+from tests.support import ASKED, KEYS, make_rules, small_spec
+
+PROBLEM = 'application/problem+json'
+
+
+class CallersTest(unittest.TestCase):
+    """Malformed, oversize, slow and vanished callers."""
+
+    fleet: Fleet
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = cls.enterClassContext(running_fleet(small_spec()))
+        cls.fleet.accept(
+            make_rules(
+                f'route PUT /tiny service=holds idempotent body=1KB{ASKED}',
+                f'route GET /brief service=listings deadline=300ms{ASKED}',
+            ),
+        )
+        cls.fleet.wait_rates()
+        cls.address = cls.fleet.nodes[0].callers
+
+    def test_refusals_are_problems_with_stable_reasons(self) -> None:
+        caller = Caller(KEYS['dealers'])
+        cases = (
+            ('GET', '/nowhere', b'', 404, 'no-route'),
+            ('DELETE', '/holds', b'', 405, 'method-not-allowed'),
+            ('PUT', '/tiny', b'x' * 2000, 413, 'body-too-large'),
+            ('POST', '/holds', b'x', 400, 'idempotency-key-missing'),
+        )
+        for method, path, body, status, reason in cases:
+            answer = caller.send(self.address, method, path, body=body)
+            self.assertEqual((answer.status, answer.reason), (status, reason))
+            self.assertEqual(answer.headers['content-type'], PROBLEM)
+            self.assertEqual(answer.outcome, 'not-run')
+            problem = answer.json()
+            self.assertEqual(problem['status'], status)
+            self.assertTrue(problem['type'].startswith('urn:'))
+            self.assertEqual(
+                problem['request_id'],
+                answer.headers['x-request-id'],
+            )
+
+    def test_request_id_is_passed_on(self) -> None:
+        answer = Caller(KEYS['dealers']).send(
+            self.address,
+            'GET',
+            '/diffs/1',
+            headers={'X-Request-Id': 'mine', 'X-Operation': 'id'},
+        )
+        self.assertEqual(answer.headers['x-request-id'], 'mine')
+        run = self.fleet.runs_of('id')[0]
+        self.assertEqual(run.headers['X-Request-Id'], 'mine')
+
+    def test_hop_by_hop_headers_stop_at_the_first_hop(self) -> None:
+        answer = Caller(KEYS['dealers']).send(
+            self.address,
+            'GET',
+            '/diffs/1',
+            headers={
+                'Connection': 'keep-alive, X-Private',
+                'X-Private': 'yes',
+                'Keep-Alive': 'timeout=5',
+                'TE': 'trailers',
+                'X-Operation': 'hops',
+            },
+        )
+        self.assertEqual(answer.status, 200)
+        names = {name.lower() for name in self.fleet.runs_of('hops')[0].headers}
+        self.assertFalse({'x-private', 'keep-alive', 'te'} & names)
+
+    def test_malformed_requests_get_a_problem(self) -> None:
+        for raw in (
+            b'GET /diffs/1 HTTP/1.1\r\nbad header\r\n\r\n',
+            b'NONSENSE\r\n\r\n',
+            b'POST /notes HTTP/1.1\r\nContent-Length: x\r\n\r\n',
+            b'GET /'
+            + b'a' * 70_000
+            + b' HTTP/1.1\r\nConnection: close\r\n\r\n',
+        ):
+            with self.subTest(raw=raw[:40]):
+                status, content = self._send_raw(raw)
+                self.assertIn(status, {400, 404, 413, 431})
+                self.assertIn(PROBLEM.encode(), content)
+
+    def test_deadline_is_kept_and_reaches_the_upstream(self) -> None:
+        started_at = time.monotonic()
+        answer = Caller(KEYS['dealers']).send(
+            self.address,
+            'GET',
+            '/brief',
+            headers={'X-Operation': 'brief', 'X-Work': '3'},
+        )
+        took = time.monotonic() - started_at
+        self.assertEqual(answer.reason, 'deadline-passed')
+        self.assertEqual(answer.status, 504)
+        self.assertLess(took, 2)
+        run = self.fleet.runs_of('brief')[0]
+        left = int(run.headers['Kumquathold-Deadline-Ms'])
+        self.assertTrue(0 < left <= 300, left)
+
+    def test_caller_that_goes_away_cancels_its_request(self) -> None:
+        connection = http.client.HTTPConnection(self.address)
+        connection.request(
+            'GET',
+            '/diffs/1',
+            headers={
+                'Authorization': f'Bearer {KEYS["dealers"]}',
+                'X-Work': '4',
+                'X-Operation': 'gone',
+            },
+        )
+        wait_until(lambda: bool(self.fleet.runs_of('gone')), 'run')
+        connection.close()
+        took = wait_until(
+            lambda: (
+                sum(one.state()['cancelled'] for one in self._listings()) > 0
+            ),
+            'cancellation at the upstream',
+            3,
+        )
+        self.assertLess(took, 3)
+
+    def test_slow_callers_cost_others_nothing(self) -> None:
+        slow = [
+            socket.create_connection(tuple_of(self.address)) for _ in range(100)
+        ]
+        for sock in slow:
+            sock.sendall(b'POST /notes HTTP/1.1\r\nContent-Length: 100\r\n')
+        answer = Caller(KEYS['dealers']).send(self.address, 'GET', '/diffs/1')
+        self.assertEqual(answer.status, 200)
+        self.assertLess(answer.seconds, 1)
+        for sock in slow:
+            sock.close()
+
+    def test_shed_load_is_taken_elsewhere(self) -> None:
+        shedding = self._listings()[0]
+        shedding.behave(shed=True)
+        try:
+            for _ in range(10):
+                answer = Caller(KEYS['dealers']).send(
+                    self.address,
+                    'GET',
+                    '/diffs/1',
+                )
+                self.assertEqual(answer.status, 200, answer)
+        finally:
+            shedding.behave()
+
+    def _listings(self) -> list:  # type: ignore[type-arg]
+        return [
+            one for one in self.fleet.upstreams if one.service == 'listings'
+        ]
+
+    def _send_raw(self, raw: bytes) -> tuple[int, bytes]:
+        with socket.create_connection(tuple_of(self.address), 5) as sock:
+            sock.sendall(raw)
+            content = b''
+            while chunk := sock.recv(65536):
+                content += chunk
+        return int(content.split(b' ', 2)[1]), content
+
+
+def tuple_of(address: str) -> tuple[str, int]:
+    """The address as the socket module wants it."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
