--- a/packages/core/src/kumquathold_core/wire.py
+++ b/packages/core/src/kumquathold_core/wire.py
@@ -9,7 +9,7 @@
 
 import hashlib
 import hmac
-from typing import Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 import msgspec
 
@@ -88,7 +88,7 @@
 
 
 def encode_frame(
-    envelope: Envelope[Message],
+    envelope: Envelope[Any],
     receiver: str,
     secret: bytes,
 ) -> bytes:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,7 +8,12 @@
 import unittest
 
 from kumquathold_standins.caller import Caller
-from kumquathold_standins.fleet import Fleet, running_fleet, wait_until
+from kumquathold_standins.fleet import (
+    Fleet,
+    Upstream,
+    running_fleet,
+    wait_until,
+)
 from tests.support import ASKED, KEYS, make_rules, small_spec
 
 PROBLEM = 'application/problem+json'
@@ -18,6 +23,7 @@
     """Malformed, oversize, slow and vanished callers."""
 
     fleet: Fleet
+    address: str
 
     @classmethod
     def setUpClass(cls) -> None:
@@ -158,7 +164,7 @@
         finally:
             shedding.behave()
 
-    def _listings(self) -> list:  # type: ignore[type-arg]
+    def _listings(self) -> list[Upstream]:
         return [
             one for one in self.fleet.upstreams if one.service == 'listings'
         ]
--- /dev/null
+++ b/tests/test_command_line.py
@@ -0,0 +1,210 @@
+"""The operators' command line, as a new user would try it."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner, Result
+
+from kumquathold_cli import main as cli
+from kumquathold_node import settings as node_settings
+from kumquathold_standins.caller import Caller
+from kumquathold_standins.fleet import Fleet, running_fleet, wait_until
+from tests.support import ASKED, KEYS, make_rules, small_spec
+
+
+class CommandLineTest(unittest.TestCase):
+    """Each command against a running fleet."""
+
+    fleet: Fleet
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = cls.enterClassContext(running_fleet(small_spec()))
+        cls.directory = Path(
+            cls.enterClassContext(tempfile.TemporaryDirectory()),
+        )
+        first = cls.directory / 'first.rules'
+        first.write_text(make_rules())
+        cls.run_on(cls.fleet, 'accept', str(first), '--note', 'first')
+        cls.fleet.wait_rates()
+
+    @staticmethod
+    def run_on(fleet: Fleet, *arguments: str) -> Result:
+        """Run a command against the first node."""
+        return CliRunner().invoke(
+            cli.main,
+            [
+                '--node',
+                fleet.nodes[0].admin,
+                '--operator',
+                'oyun',
+                '--operator-secret-file',
+                str(fleet.secret_files['operator']),
+                *arguments,
+            ],
+        )
+
+    def run_command(self, *arguments: str) -> Result:
+        return self.run_on(self.fleet, *arguments)
+
+    def save(self, text: str) -> str:
+        path = self.directory / 'edited.rules'
+        path.write_text(text)
+        return str(path)
+
+    def test_check_needs_no_node_and_names_every_mistake(self) -> None:
+        path = self.save('service s\nroute GET x service=t # asked by x\n')
+        result = CliRunner().invoke(cli.main, ['check', path, '--json'])
+        self.assertEqual(result.exit_code, cli.EXIT_RULES)
+        mistakes = json.loads(result.stdout)
+        self.assertEqual([one['line'] for one in mistakes], [1, 2])
+        self.assertTrue(all(one['instead'] for one in mistakes))
+
+    def test_edit_round_trip(self) -> None:
+        shown = self.run_command('show').stdout
+        line = f'workspace extra rate=1 burst=1{ASKED}\n'
+        path = self.save(shown + line)
+        difference = self.run_command('diff', path)
+        self.assertIn('+workspace extra', difference.stdout)
+        accepted = self.run_command('accept', path, '--json')
+        self.assertEqual(accepted.exit_code, 0, accepted.output)
+        version = json.loads(accepted.stdout)['version']
+        saved = Path(path).read_text()
+        self.assertTrue(saved.startswith(f'# version: {version}\n'))
+        history = json.loads(self.run_command('history', '--json').stdout)
+        self.assertEqual(history[0]['version'], version)
+        self.assertEqual(history[0]['author'], 'oyun')
+
+    def test_lost_race_shows_the_other_change(self) -> None:
+        shown = self.run_command('show').stdout
+        first = self.save(f'{shown}workspace fast rate=1 burst=1{ASKED}\n')
+        self.assertEqual(self.run_command('accept', first).exit_code, 0)
+        late = self.save(f'{shown}workspace late rate=1 burst=1{ASKED}\n')
+        result = self.run_command('accept', late)
+        self.assertEqual(result.exit_code, cli.EXIT_CONFLICT)
+        self.assertIn('+workspace fast', result.output)
+
+    def test_key_is_issued_once_and_withdrawn(self) -> None:
+        key = self.run_command('key', 'issue', 'dealers').stdout.strip()
+        caller = Caller(key)
+        for node in self.fleet.nodes:
+            answer = caller.send(node.callers, 'GET', '/diffs/1')
+            self.assertEqual(answer.status, 200, answer)
+        self.assertNotIn(key, self.run_command('show').stdout)
+        withdrawn = self.run_command('key', 'withdraw', key.split('_')[1])
+        self.assertEqual(withdrawn.exit_code, 0, withdrawn.output)
+        for node in self.fleet.nodes:
+            answer = caller.send(node.callers, 'GET', '/diffs/1')
+            self.assertEqual(answer.reason, 'key-unknown')
+
+    def test_wrong_names_are_refused(self) -> None:
+        for arguments in (
+            ('key', 'issue', 'nobody'),
+            ('key', 'withdraw', 'nothing'),
+            ('once', 'show', 'dealers', 'nothing'),
+            ('show', '--version', '999'),
+        ):
+            result = self.run_command(*arguments)
+            self.assertEqual(result.exit_code, cli.EXIT_FAILED, arguments)
+            self.assertTrue(result.output.strip(), arguments)
+
+    def test_status_and_explain(self) -> None:
+        status = self.run_command('status')
+        self.assertEqual(status.output.count('listings@'), 3)
+        explained = json.loads(
+            self.run_command(
+                'explain',
+                'GET',
+                '/diffs/7',
+                '--workspace',
+                'dealers',
+            ).stdout,
+        )
+        self.assertEqual(explained['route']['path'], '/diffs/*')
+        self.assertEqual(len(explained['upstreams']), 3)
+        self.assertIsNone(explained['would_be_refused'])
+
+    def test_unreachable_node_is_said_so(self) -> None:
+        secret = str(self.fleet.secret_files['operator'])
+        result = CliRunner().invoke(
+            cli.main,
+            [
+                '--node',
+                '127.0.0.1:9',
+                '--operator-secret-file',
+                secret,
+                'status',
+            ],
+        )
+        self.assertEqual(result.exit_code, cli.EXIT_FAILED)
+        self.assertIn('NodeUnreachable', result.output)
+
+
+class DrainTest(unittest.TestCase):
+    """A node leaves at an operator's word."""
+
+    def test_drained_node_ends_and_others_serve(self) -> None:
+        with running_fleet(small_spec(quiet=0.3)) as fleet:
+            fleet.accept(make_rules())
+            fleet.wait_rates()
+            result = CommandLineTest.run_on(fleet, 'drain')
+            self.assertEqual(result.exit_code, 0, result.output)
+            self.assertEqual(fleet.nodes[0].process.wait(30), 0)
+            wait_until(
+                lambda: (
+                    Caller(KEYS['dealers'])
+                    .send(fleet.nodes[1].callers, 'GET', '/diffs/1')
+                    .status
+                    == 200
+                ),
+                'answer through another node',
+            )
+
+
+class SettingsTest(unittest.TestCase):
+    """Every setting is checked, and all mistakes are told at once."""
+
+    def test_all_mistakes_are_told(self) -> None:
+        given = node_settings.Settings(
+            peer='localhost:1',
+            callers='10.0.0.1:0',
+            admin='10.0.0.1:70000',
+            announce='10.0.0.1',
+            platform='10.0.0.1:80',
+            zone='',
+            region='moon',
+            store_region='north',
+            regions=('north', 'east'),
+            fleet_secret=b'x' * 16,
+            operator_secret=b'x' * 16,
+            threads=0,
+            rate_term=0.5,
+        )
+        with self.assertRaises(node_settings.SettingsErrors) as caught:
+            node_settings.check_settings(given)
+        flags = {one.flag for one in node_settings.flatten(caught.exception)}
+        self.assertEqual(
+            flags,
+            {
+                '--peer',
+                '--callers',
+                '--admin',
+                '--announce',
+                '--zone',
+                '--region',
+                '--threads',
+                '--rate-term',
+            },
+        )
+
+    def test_short_or_missing_secrets_are_refused(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            short = Path(directory) / 'short'
+            short.write_text('short')
+            for path in (short, Path(directory) / 'missing'):
+                with self.assertRaises(node_settings.SettingsError):
+                    node_settings.read_secret('--secret', str(path))
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,329 @@
+"""Routing, queueing, memory, assembly and wire against naive versions."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kumquathold_core import (
+    assembly,
+    balancing,
+    crashes,
+    operator_auth,
+    retries,
+    routing,
+    sharing,
+    turns,
+    wire,
+)
+from kumquathold_core.balancing import Candidate, Load
+from kumquathold_core.identity import RequestId
+from kumquathold_core.memory import MEMORY_SECONDS, RequestMemory, State
+from kumquathold_core.rules import Route, Rules, ZoneChoice
+from kumquathold_core.work import Outcome, Refusal
+
+METHODS = ('GET', 'HEAD', 'POST', '*')
+SECRET = b'a secret of the fleet'
+
+
+def naive_route(rules: Rules, method: str, path: str) -> Route | None:
+    """Look at every route, best path first."""
+
+    def fits(route: Route) -> bool:
+        if route.path.endswith('*'):
+            return path.startswith(route.path[:-1])
+        return route.path == path
+
+    def rank(route: Route) -> tuple[bool, int]:
+        return not route.path.endswith('*'), len(route.path)
+
+    fitting = sorted(filter(fits, rules.routes), key=rank, reverse=True)
+    for best in fitting:
+        same = [one for one in fitting if one.path == best.path]
+        for wanted in (method, *(('GET',) if method == 'HEAD' else ()), '*'):
+            for route in same:
+                if route.method == wanted:
+                    return route
+    return None
+
+
+class RoutingTest(unittest.TestCase):
+    """The indexed table finds what a scan finds."""
+
+    def test_agrees_with_a_scan(self) -> None:
+        for seed in range(200):
+            rng = random.Random(seed)
+
+            def draw_path(rng: random.Random = rng) -> str:
+                parts = rng.choices(('a', 'b', 'ab'), k=rng.randint(0, 3))
+                return f'/{"/".join(parts)}'
+
+            routes: dict[str, Route] = {}
+            for _ in range(12):
+                star = rng.choice(('', '*', '/*'))
+                route = Route(
+                    method=rng.choice(METHODS),
+                    path=f'{draw_path()}{star}',
+                    service='s',
+                )
+                routes[route.name] = route
+            rules = Rules(
+                services={},
+                routes=tuple(routes.values()),
+                workspaces={},
+                keys={},
+            )
+            table = routing.RouteTable.from_rules(rules)
+            for _ in range(40):
+                method = rng.choice(METHODS[:3])
+                path = draw_path()
+                match = routing.match_route(table, method, path)
+                expected = naive_route(rules, method, path)
+                self.assertEqual(match.route, expected, (method, path))
+
+
+class BalancingTest(unittest.TestCase):
+    """Near before far, spare before full."""
+
+    def test_never_goes_far_while_near_has_room(self) -> None:
+        rng = random.Random(1)
+        candidates = [
+            Candidate(f'u{number}', 'o', f'z{number % 4}', f'r{number % 2}', 4)
+            for number in range(16)
+        ]
+        for _ in range(500):
+            loads = {
+                one.upstream: Load(in_flight=rng.randint(0, 12))
+                for one in candidates
+            }
+            chosen = balancing.choose_upstream(
+                candidates,
+                loads,
+                zone='z0',
+                region='r0',
+                reach=ZoneChoice.any,
+                rng=rng,
+            )
+            assert chosen is not None  # noqa: S101
+            spare = [
+                balancing.rank_distance(one, 'z0', 'r0')
+                for one in candidates
+                if balancing.is_spare(one, loads[one.upstream])
+            ]
+            distance = balancing.rank_distance(chosen, 'z0', 'r0')
+            if spare:
+                self.assertEqual(distance, min(spare))
+
+    def test_reach_is_kept(self) -> None:
+        far = [Candidate('u', 'o', 'z9', 'r9', 4)]
+        for reach in (ZoneChoice.zone, ZoneChoice.region):
+            chosen = balancing.choose_upstream(
+                far,
+                {},
+                zone='z0',
+                region='r0',
+                reach=reach,
+                rng=random.Random(1),
+            )
+            self.assertIsNone(chosen)
+
+
+class TurnsTest(unittest.TestCase):
+    """Workspaces take turns by weight, whatever queues."""
+
+    def test_light_workspace_waits_for_at_most_one_round(self) -> None:
+        queue: turns.TurnQueue[str] = turns.TurnQueue()
+        for number in range(turns.MAX_WAITING):
+            queue.push('heavy', 3, f'h{number}')
+        self.assertFalse(queue.push('heavy', 3, 'one too many'))
+        self.assertTrue(queue.push('light', 1, 'l0'))
+        order = [queue.pop() for _ in range(5)]
+        self.assertIn('l0', order[:4])
+
+    def test_nothing_is_lost_or_doubled(self) -> None:
+        for seed in range(50):
+            rng = random.Random(seed)
+            queue: turns.TurnQueue[int] = turns.TurnQueue()
+            inside: list[tuple[str, int]] = []
+            for number in range(300):
+                workspace = rng.choice('abc')
+                step = rng.random()
+                if step < 0.5 and queue.push(workspace, 2, number):
+                    inside.append((workspace, number))
+                elif step < 0.9:
+                    popped = queue.pop()
+                    self.assertEqual(popped is None, not inside)
+                    inside = [one for one in inside if one[1] != popped]
+                elif inside:
+                    gone = inside.pop(rng.randrange(len(inside)))
+                    self.assertTrue(queue.remove(*gone))
+                self.assertEqual(queue.size, len(inside))
+
+
+class MemoryTest(unittest.TestCase):
+    """A request is admitted once, and never after it was refused."""
+
+    def test_agrees_with_a_set(self) -> None:
+        for seed in range(50):
+            rng = random.Random(seed)
+            memory = RequestMemory()
+            naive: set[int] = set()
+            for step in range(200):
+                number = rng.randrange(40)
+                request = RequestId('a', 1, number)
+                now = step * MEMORY_SECONDS / 400
+                if rng.random() < 0.3:
+                    memory.refuse_forever(request, now)
+                else:
+                    is_new = memory.admit(request, now) is None
+                    self.assertEqual(is_new, number not in naive)
+                naive.add(number)
+                memory.expire(now)
+
+    def test_running_requests_are_not_forgotten(self) -> None:
+        memory = RequestMemory()
+        request = RequestId('a', 1, 1)
+        memory.admit(request, 0.0)
+        memory.start(request)
+        memory.expire(10 * MEMORY_SECONDS)
+        self.assertEqual(memory.entries[request].state, State.running)
+
+
+class AssemblyTest(unittest.TestCase):
+    """Bodies come out whole or not at all."""
+
+    @settings(derandomize=True, max_examples=60)
+    @given(st.binary(max_size=50), st.integers(0, 3), st.randoms())
+    def test_any_order_and_doubles_give_the_body(
+        self,
+        seed: bytes,
+        pieces: int,
+        rng: random.Random,
+    ) -> None:
+        body = (seed or b'x') * (pieces * assembly.PIECE_BYTES // 20 + 1)
+        first, rest = assembly.split_body(body)
+        parts = list(rest) * 2
+        rng.shuffle(parts)
+        assembler = assembly.Assembler()
+        digest = wire.digest_body(body)
+        place = rng.randint(0, len(parts))
+        found = []
+        for number in range(len(parts) + 1):
+            if number == place:
+                found.append(
+                    assembler.announce('r', len(body), digest, first, 0.0),
+                )
+            if number < len(parts):
+                found.append(assembler.add_piece('r', *parts[number], 0.0))
+        whole = [one for one in found if one is not None]
+        self.assertEqual(whole[0], body)
+
+    def test_wrong_bytes_are_refused(self) -> None:
+        assembler = assembly.Assembler()
+        with self.assertRaises(assembly.DigestMismatch):
+            assembler.announce('r', 3, wire.digest_body(b'abc'), b'abd', 0.0)
+        self.assertEqual(assembler.partial, {})
+
+    def test_missing_rest_expires(self) -> None:
+        assembler = assembly.Assembler()
+        assembler.announce('r', 9, wire.digest_body(b'x' * 9), b'x', 0.0)
+        late = assembly.PIECE_PATIENCE_SECONDS
+        self.assertEqual(assembler.expire(late), ['r'])
+
+
+class WireTest(unittest.TestCase):
+    """Frames are taken from the fleet only, and by their receiver only."""
+
+    @settings(derandomize=True, max_examples=300)
+    @given(st.binary(max_size=300))
+    def test_any_bytes_give_a_wire_error(self, frame: bytes) -> None:
+        with self.assertRaises(wire.WireError):
+            wire.decode_frame(frame, 'b', SECRET)
+
+    @settings(derandomize=True, max_examples=200)
+    @given(st.integers(0, 5000), st.integers(1, 255))
+    def test_any_changed_byte_is_noticed(self, place: int, flip: int) -> None:
+        asked = sharing.GrantAsked(
+            number=1, workspace='w', wanted=2, reports=()
+        )
+        envelope = wire.Envelope('a', 1, asked)
+        frame = bytearray(wire.encode_frame(envelope, 'b', SECRET))
+        same = wire.decode_frame(bytes(frame), 'b', SECRET)
+        self.assertEqual(same, envelope)
+        frame[place % len(frame)] ^= flip
+        with self.assertRaises(wire.ForgedFrame):
+            wire.decode_frame(bytes(frame), 'b', SECRET)
+
+
+class RetriesTest(unittest.TestCase):
+    """Only what does no harm is sent again, and not too often."""
+
+    def test_open_outcome_is_not_repeated_unless_harmless(self) -> None:
+        for reason in Refusal:
+            failure = retries.Failure(Outcome.unknown, reason)
+            self.assertFalse(
+                retries.is_repeatable(failure, idempotent=False, claimed=False),
+            )
+
+    def test_budget_is_one_in_ten(self) -> None:
+        budget = retries.RetryBudget()
+        spent = 0
+        for _ in range(1000):
+            budget.earn()
+            spent += budget.spend()
+        self.assertLessEqual(spent, 1000 / 10 + retries.BUDGET_MAX)
+        self.assertGreaterEqual(spent, 99)
+
+    def test_outcomes_combine(self) -> None:
+        not_run, ran, unknown = Outcome.not_run, Outcome.ran, Outcome.unknown
+        combine = retries.combine_outcomes
+        self.assertEqual(combine([not_run, not_run]), not_run)
+        self.assertEqual(combine([unknown, not_run]), unknown)
+        self.assertEqual(combine([unknown, ran]), ran)
+
+
+class MarksTest(unittest.TestCase):
+    """Crash marks hit one request only, and end."""
+
+    def test_second_upstream_marks_the_request(self) -> None:
+        marks = crashes.CrashMarks()
+        bad = crashes.fingerprint_request('w', 'GET', '/x', b'1')
+        other = crashes.fingerprint_request('w', 'GET', '/x', b'2')
+        marks.add(bad, 'u1', 0.0)
+        marks.add(bad, 'u1', 1.0)
+        self.assertFalse(marks.is_refused(bad, 1.0))
+        marks.add(bad, 'u2', 2.0)
+        self.assertTrue(marks.is_refused(bad, 2.0))
+        self.assertFalse(marks.is_refused(other, 2.0))
+        late = 2.0 + crashes.MARK_SECONDS
+        self.assertFalse(marks.is_refused(bad, late))
+
+
+class OperatorAuthTest(unittest.TestCase):
+    """Signatures cover everything, and work once and in time."""
+
+    def test_each_changed_part_is_refused(self) -> None:
+        call = operator_auth.Call('oyun', 'GET', '/x', b'b', '1000', 'n')
+        signature = operator_auth.sign_call(call, SECRET)
+        checker = operator_auth.CallChecker(SECRET)
+        checker.check(call, signature, 1000.0)
+        with self.assertRaises(operator_auth.SignatureReplayed):
+            checker.check(call, signature, 1000.0)
+        late = 1001 + operator_auth.MAX_SKEW_SECONDS
+        with self.assertRaises(operator_auth.SignatureExpired):
+            operator_auth.CallChecker(SECRET).check(call, signature, late)
+        parts = ('oyun', 'GET', '/x', b'b', '1000', 'n')
+        for place, part in enumerate(parts):
+            longer: object = f'{part}1'
+            if isinstance(part, bytes):
+                longer = b'%bx' % part
+            changed = (*parts[:place], longer, *parts[place + 1 :])
+            with self.assertRaises(operator_auth.SignatureInvalid):
+                checker.check(
+                    operator_auth.Call(*changed),  # type: ignore[arg-type]
+                    signature,
+                    1000.0,
+                )
--- /dev/null
+++ b/tests/test_rules_file.py
@@ -0,0 +1,192 @@
+"""The rules file: every word, every mistake, and both deployments."""
+
+from __future__ import annotations
+
+import unittest
+from pathlib import Path
+
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from kumquathold_core import manifest, rules_file
+from kumquathold_core.rules import Stale, ZoneChoice, authenticate_key
+from kumquathold_core.rules_file import RuleError, RulesErrors, parse_rules
+from tests.support import KEYS, make_rules
+
+ROOT = Path(__file__).parent.parent
+ASKED = '# asked by Oyun'
+GOOD = f'service s {ASKED}\nworkspace w rate=1 burst=1 {ASKED}\n'
+MISTAKES = (
+    ('service s', 'who asked'),
+    (f'servise s {ASKED}', 'no rule'),
+    (f'service {ASKED}', 'no name'),
+    (f'service S {ASKED}', 'not a name'),
+    (f'service x floor=50 {ASKED}', 'no share'),
+    (f'service x floor=150% {ASKED}', 'no share'),
+    (f'service x zones=near {ASKED}', 'not known here'),
+    (f'service x colour=red {ASKED}', 'unknown word'),
+    (f'service s {ASKED}', 'stands twice'),
+    (f'route GET {ASKED}', 'missing'),
+    (f'route FETCH /x service=s {ASKED}', 'no method'),
+    (f'route GET x service=s {ASKED}', 'no path'),
+    (f'route GET /a*b service=s {ASKED}', 'no path'),
+    (f'route GET /x {ASKED}', '"service=" is missing'),
+    (f'route GET /x service=t {ASKED}', 'no service'),
+    (f'route GET /x service=s service=s {ASKED}', 'stands twice'),
+    (f'route GET /x service=s deadline=5 {ASKED}', 'no time'),
+    (f'route GET /x service=s deadline=90s {ASKED}', 'no time'),
+    (f'route GET /x service=s body=1TB {ASKED}', 'no size'),
+    (f'route GET /x service=s stale=maybe {ASKED}', 'not known here'),
+    (f'route GET /x service=s twice {ASKED}', 'unknown word'),
+    (f'route GET /x service=s once {ASKED}', 'either "once" or'),
+    (f'workspace v rate=0 burst=1 {ASKED}', 'no rate'),
+    (f'workspace v rate=nan burst=1 {ASKED}', 'no rate'),
+    (f'workspace v rate=1 burst=0 {ASKED}', 'no whole number'),
+    (f'workspace v burst=1 {ASKED}', '"rate=" is missing'),
+    (f'workspace v rate=1 burst=1 weight=x {ASKED}', 'no whole number'),
+    (f'key k workspace=w digest=md5:00 {ASKED}', 'no digest'),
+    (f'key k workspace=w digest=sha256:{"z" * 64} {ASKED}', 'hexadecimal'),
+    (f'key k workspace=u digest=sha256:{"0" * 64} {ASKED}', 'no workspace'),
+)
+
+
+def mistakes_of(text: str) -> list[RuleError]:
+    """All mistakes of a text."""
+    try:
+        parse_rules(text)
+    except RulesErrors as errors:
+        return rules_file.list_errors(errors)
+    return []
+
+
+class MistakesTest(unittest.TestCase):
+    """Each mistake names its place and what to write instead."""
+
+    def test_each_mistake_is_found_at_its_line(self) -> None:
+        for line, expected in MISTAKES:
+            with self.subTest(line=line):
+                found = mistakes_of(f'{GOOD}{line}\n')
+                self.assertEqual(len(found), 1, found)
+                self.assertIn(expected, found[0].what)
+                self.assertEqual(found[0].line, 3)
+                self.assertGreaterEqual(found[0].column, 1)
+                self.assertTrue(found[0].instead)
+
+    def test_all_mistakes_are_reported_in_one_run(self) -> None:
+        text = GOOD + ''.join(f'{line}\n' for line, _ in MISTAKES)
+        lines = [error.line for error in mistakes_of(text)]
+        self.assertEqual(lines, sorted(lines))
+        self.assertEqual(len(set(lines)), len(MISTAKES))
+
+    @settings(derandomize=True, max_examples=300)
+    @given(st.text(max_size=200))
+    @example('service\x00 s # asked by x')
+    @example('route * /* service=s # asked by x')
+    def test_any_text_gives_rules_or_mistakes(self, text: str) -> None:
+        for error in mistakes_of(text):
+            self.assertIsInstance(error, RuleError)
+
+    @settings(derandomize=True, max_examples=300)
+    @given(st.lists(st.sampled_from(make_rules().split()), max_size=40))
+    def test_shuffled_words_give_rules_or_mistakes(
+        self,
+        words: list[str],
+    ) -> None:
+        for error in mistakes_of(' '.join(words)):
+            self.assertIsInstance(error, RuleError)
+
+
+class WordsTest(unittest.TestCase):
+    """What each word means."""
+
+    def test_every_word_is_read(self) -> None:
+        rules = parse_rules(
+            f'service s floor=67% zones=region {ASKED}\n'
+            f'route PUT /a/* service=s idempotent deadline=250ms body=4KB '
+            f'stale=serve {ASKED}\n'
+            f'route POST /b service=s once {ASKED}\n'
+            f'route GET /c service=s public {ASKED}\n'
+            f'workspace w rate=2.5 burst=7 weight=3 {ASKED}\n'
+            f'key k workspace=w digest=sha256:{"ab" * 32} {ASKED}\n',
+        )
+        service = rules.services['s']
+        self.assertEqual(service.floor, 0.67)
+        self.assertEqual(service.zones, ZoneChoice.region)
+        first, second, third = rules.routes
+        self.assertEqual(first.deadline, 0.25)
+        self.assertEqual(first.body_limit, 4096)
+        self.assertEqual(first.stale, Stale.serve)
+        self.assertTrue(first.idempotent)
+        self.assertTrue(second.once)
+        self.assertFalse(second.idempotent)
+        self.assertTrue(third.public)
+        self.assertTrue(third.idempotent)
+        workspace = rules.workspaces['w']
+        self.assertEqual((workspace.rate, workspace.burst), (2.5, 7))
+        self.assertEqual(workspace.weight, 3)
+        self.assertEqual(rules.keys['k'].digest, bytes.fromhex('ab' * 32))
+
+    def test_keys_are_known_by_digest(self) -> None:
+        rules = parse_rules(make_rules())
+        known = authenticate_key(rules, KEYS['dealers'])
+        self.assertIsNotNone(known)
+        self.assertIsNone(authenticate_key(rules, f'{KEYS["dealers"]}x'))
+
+    def test_version_line_survives(self) -> None:
+        marked = rules_file.with_version(make_rules(), 7)
+        self.assertEqual(rules_file.version_of(marked), 7)
+        again = rules_file.with_version(marked, 8)
+        self.assertEqual(rules_file.version_of(again), 8)
+        self.assertEqual(again.partition('\n')[2], make_rules())
+
+    def test_examples_of_both_deployments_have_no_mistakes(self) -> None:
+        names = sorted(one.name for one in ROOT.glob('examples/*.rules'))
+        self.assertEqual(names, ['pixelchedi.rules', 'tuul.rules'])
+        for name in names:
+            text = (ROOT / 'examples' / name).read_text(encoding='utf-8')
+            self.assertEqual(mistakes_of(text), [])
+
+    def test_reference_page_names_every_word(self) -> None:
+        page = (ROOT / 'docs' / 'RULES.md').read_text(encoding='utf-8')
+        for word in (
+            'service',
+            'route',
+            'workspace',
+            'key',
+            'floor=',
+            'zones=',
+            'service=',
+            'public',
+            'idempotent',
+            'once',
+            'deadline=',
+            'body=',
+            'stale=',
+            'rate=',
+            'burst=',
+            'weight=',
+            'digest=',
+            '# asked by',
+        ):
+            self.assertIn(f'`{word}', page)
+        for name in ('tuul', 'pixelchedi'):
+            example_text = (ROOT / 'examples' / f'{name}.rules').read_text()
+            self.assertIn(example_text.strip(), page)
+
+
+class ManifestTest(unittest.TestCase):
+    """How a text is packed for the platform."""
+
+    @settings(derandomize=True)
+    @given(st.text())
+    def test_packed_text_comes_back(self, text: str) -> None:
+        packed = manifest.pack_text(text)
+        joined = b''.join(manifest.split_packed(packed))
+        digest = manifest.digest_packed(packed)
+        self.assertEqual(manifest.unpack_text(joined, digest), text)
+
+    def test_corrupt_text_is_refused(self) -> None:
+        packed = manifest.pack_text('service s # asked by Oyun')
+        digest = manifest.digest_packed(packed)
+        with self.assertRaises(manifest.CorruptConfiguration):
+            manifest.unpack_text(packed[:-1], digest)
