--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -20,6 +20,7 @@
     """Each command against a running fleet."""
 
     fleet: Fleet
+    directory: Path
 
     @classmethod
     def setUpClass(cls) -> None:
