--- a/packages/standins/src/kumquathold_standins/fleet.py
+++ b/packages/standins/src/kumquathold_standins/fleet.py
@@ -266,7 +266,7 @@
 
     def start(self) -> None:
         """Start the platform, then all nodes, then all upstreams."""
-        self.platform = self._spawn(
+        self.platform = self.spawn(
             'platform',
             'kumquathold_standins.platform',
             listen=self.platform_address,
@@ -287,7 +287,7 @@
     def add_upstream(self, node: Node, service: str) -> Upstream:
         """Start an upstream beside a node."""
         address = local(free_port())
-        process = self._spawn(
+        process = self.spawn(
             f'upstream-{address}',
             'kumquathold_standins.upstream',
             listen=address,
@@ -432,7 +432,7 @@
         store: str,
     ) -> Node:
         peer, callers, admin, announce = (local(port) for port in ports)
-        process = self._spawn(
+        process = self.spawn(
             f'node-{number}',
             'kumquathold_node.main',
             peer=peer,
@@ -454,7 +454,8 @@
         )
         return Node(vm, ports, process)
 
-    def _spawn(self, name: str, module: str, **flags: object) -> Process:
+    def spawn(self, name: str, module: str, **flags: object) -> Process:
+        """Start a module as a process that ends with the fleet."""
         arguments = [sys.executable, '-m', module]
         for flag, given in flags.items():
             arguments.extend((f'--{flag.replace("_", "-")}', str(given)))
--- a/packages/standins/src/kumquathold_standins/load.py
+++ b/packages/standins/src/kumquathold_standins/load.py
@@ -22,6 +22,7 @@
 LOWEST_MICROSECONDS = 1
 HIGHEST_MICROSECONDS = 60_000_000
 DIGITS = 3
+SERVER_ERROR = 500
 MICROSECONDS = 1e6
 JOIN_SECONDS = 60.0
 
@@ -69,6 +70,9 @@
     answered: int = 0
     """Answers of upstreams."""
 
+    good: int = 0
+    """Of these, those below status 500."""
+
     refused: Counter[str] = msgspec.field(default_factory=Counter)
     """Refusals by reason."""
 
@@ -112,18 +116,6 @@
     return results
 
 
-def merge_results(name: str, results: list[Result]) -> Result:
-    """Add results up under one name."""
-    total = Result(name)
-    for one in results:
-        total.sent += one.sent
-        total.answered += one.answered
-        total.failed += one.failed
-        total.refused.update(one.refused)
-        total.histogram.add(one.histogram)
-    return total
-
-
 class _StreamRunner:
     """Plans a stream's requests and has its workers send them."""
 
@@ -202,6 +194,7 @@
                 self.result.refused[answer.reason] += 1
             else:
                 self.result.answered += 1
+                self.result.good += int(answer.status < SERVER_ERROR)
                 self.result.histogram.record_value(max(int(took), 1))
         if self.watch is not None:
             self.watch(self.stream, number, answer)
