Keep costs flat in nodes, routes and workspaces where slopes showed them grow

Change: peers are cached until the table changes, route names are in a set, references keep four fields, and a token that is there is taken under a lock on the caller's thread.

--- a/packages/core/src/kumquathold_core/ejection.py
+++ b/packages/core/src/kumquathold_core/ejection.py
@@ -19,9 +19,13 @@
 FALSE_EJECTION_ODDS = 1_000_000
 EJECT_SCORE = math.log(FALSE_EJECTION_ODDS)
 MAX_SCORE = 2 * EJECT_SCORE
+SUSPECT_SCORE = EJECT_SCORE / 4
 MIN_BASE = 0.01
 SICK_SERVICE_BASE = 0.3
 CONFIRM_FACTOR = 2.0
+LEAST_BAD_SHARE = 0.15
+MIN_COMPARED = 3
+KEPT_SAMPLES = 48
 MEMORIES_SECONDS = (10.0, 1.0)
 PRIOR_OUTCOMES = (50.0, 5.0)
 GRAY_FACTOR = 3.0
@@ -34,7 +38,7 @@
 SLOW_MIN_SECONDS = 0.02
 WARM_UP_SECONDS = 10.0
 TRIAL_SECONDS = 0.5
-TRIALS_TO_RETURN = 5
+TRIALS_TO_RETURN = 8
 FLAP_MEMORY_SECONDS = 300.0
 MAX_FLAP_DOUBLINGS = 4
 
@@ -71,6 +75,22 @@
             self.good += 1
 
 
+class Sample(msgspec.Struct, frozen=True):
+    """One outcome, as it was."""
+
+    at: float
+    """When it was known, in seconds of the monotonic clock."""
+
+    route: str
+    """The route's name."""
+
+    seconds: float
+    """How long it took, or has taken so far."""
+
+    failed: bool
+    """Whether it failed."""
+
+
 class Standing(msgspec.Struct):
     """What is known of one upstream."""
 
@@ -83,6 +103,14 @@
     tallies: tuple[Tally, ...] = ()
     """Its outcomes, over a long and a short memory."""
 
+    samples: deque[Sample] = msgspec.field(
+        default_factory=lambda: deque(maxlen=KEPT_SAMPLES),
+    )
+    """Its latest outcomes."""
+
+    suspected_at: float = 0.0
+    """When the evidence began to count, 0 while there is little."""
+
     ejected_at: float = 0.0
     """When it was ejected, 0 while it is in rotation."""
 
@@ -134,11 +162,7 @@
             return math.inf
         usual = statistics.median_low(medians)
         spread = statistics.median(abs(one - usual) for one in medians)
-        return max(
-            usual * SLOW_FACTOR,
-            usual + SLOW_DEVIATIONS * spread,
-            usual + SLOW_MIN_SECONDS,
-        )
+        return max(limit_of(usual), usual + SLOW_DEVIATIONS * spread)
 
     def note_latency(self, route: str, upstream: str, seconds: float) -> None:
         """Keep how long an answer took."""
@@ -163,16 +187,29 @@
         is_warm = now - standing.since >= WARM_UP_SECONDS
         is_slow = is_warm and seconds > self.slow_limit(route, upstream)
         self.note_latency(route, upstream, seconds)
-        self.note_outcome(upstream, now, is_bad=failed or is_slow)
+        sample = Sample(now, route, seconds, failed)
+        self.note_outcome(upstream, sample, is_bad=failed or is_slow)
         return failed or is_slow
 
-    def note_outcome(self, upstream: str, now: float, *, is_bad: bool) -> None:
+    def note_outcome(
+        self,
+        upstream: str,
+        sample: Sample,
+        *,
+        is_bad: bool,
+    ) -> None:
         """Add one outcome to the evidence."""
+        now = sample.at
         standing = self.see(upstream, now)
+        standing.samples.append(sample)
         base = self._base_rate(upstream, now)
         gray = min(max(base * GRAY_FACTOR, MIN_GRAY), MAX_GRAY)
         weight = _weigh_outcome(base, gray, is_bad=is_bad)
         standing.score = min(max(standing.score + weight, 0), MAX_SCORE)
+        if standing.score < SUSPECT_SCORE:
+            standing.suspected_at = 0.0
+        elif not standing.suspected_at:
+            standing.suspected_at = now
         for tally in standing.tallies:
             tally.add(now, is_bad=is_bad)
 
@@ -184,7 +221,8 @@
             return
         standing.trials_won += 1
         if standing.trials_won >= _trials_needed(standing, now):
-            standing.score = 0.0
+            standing.score = SUSPECT_SCORE
+            standing.suspected_at = now
             standing.ejected_at = 0.0
             standing.trials_won = 0
 
@@ -210,6 +248,11 @@
                 standing.ejected_at = 0.0
         return out
 
+    def is_suspected(self, upstream: str) -> bool:
+        """Whether others should get some of its requests, to compare."""
+        standing = self.standings.get(upstream)
+        return standing is not None and bool(standing.suspected_at)
+
     def take_trial(self, out: set[str], now: float) -> str | None:
         """An ejected upstream that is due for a trial request, if any."""
         for name in sorted(out):
@@ -221,19 +264,30 @@
         return None
 
     def _confirmed_score(self, upstream: str, now: float) -> float:
-        """The evidence, unless the others have since become as bad.
+        """The evidence, where it holds against what others did meanwhile.
 
-        While a whole service turns bad, the first upstreams to be hit gather
-        evidence before the others' outcomes are in.
+        Evidence gathers against what the others did earlier. Before it
+        counts, at least `MIN_COMPARED` of their outcomes since the suspicion
+        began must be better: while a whole service turns bad they are not,
+        and the evidence is dropped.
         """
         standing = self.see(upstream, now)
         if standing.score < EJECT_SCORE or standing.ejected_at:
             return standing.score
-        latest = standing.tallies[-1]
-        latest.fade(now)
-        share = _bad_share([latest], now, 0.0)
-        is_worse = share >= self._base_rate(upstream, now) * CONFIRM_FACTOR
-        return standing.score if is_worse else 0.0
+        own = _samples_since(standing, standing.suspected_at)
+        others = [
+            sample
+            for other, its in self.standings.items()
+            if other != upstream and not its.ejected_at
+            for sample in _samples_since(its, standing.suspected_at)
+        ]
+        if len(others) < MIN_COMPARED:
+            return 0.0
+        if is_worse(own, others):
+            return standing.score
+        standing.score = 0.0
+        standing.suspected_at = 0.0
+        return 0.0
 
     def _base_rate(self, upstream: str, now: float) -> float:
         """How often the others fail, over the long or the short memory.
@@ -272,6 +326,33 @@
     return out
 
 
+def is_worse(own: list[Sample], others: list[Sample]) -> bool:
+    """Whether one upstream's outcomes are far worse than the others'."""
+    usual: dict[str, list[float]] = {}
+    for sample in others:
+        usual.setdefault(sample.route, []).append(sample.seconds)
+    limits = {
+        route: limit_of(statistics.median(seconds))
+        for route, seconds in usual.items()
+    }
+    bad = sum(
+        sample.failed or sample.seconds > limits.get(sample.route, math.inf)
+        for sample in own
+    )
+    failed = sum(sample.failed for sample in others)
+    least = max(LEAST_BAD_SHARE, CONFIRM_FACTOR * failed / len(others))
+    return bad >= least * len(own)
+
+
+def limit_of(usual: float) -> float:
+    """Seconds that are far above a usual latency."""
+    return max(usual * SLOW_FACTOR, usual + SLOW_MIN_SECONDS)
+
+
+def _samples_since(standing: Standing, start: float) -> list[Sample]:
+    return [sample for sample in standing.samples if sample.at >= start]
+
+
 def _weigh_outcome(base: float, gray: float, *, is_bad: bool) -> float:
     """The log-likelihood ratio of one outcome; none in a sick service."""
     if base >= SICK_SERVICE_BASE:
--- a/packages/core/src/kumquathold_core/members.py
+++ b/packages/core/src/kumquathold_core/members.py
@@ -51,6 +51,7 @@
         self.pending: dict[str, int] = {own.address: 0}
         self.changes = 0
         self.cached_digest: int | None = None
+        self.cached_peers: list[str] | None = None
 
     @property
     def digest(self) -> int:
@@ -93,11 +94,13 @@
 
     def peers(self) -> list[str]:
         """Addresses of the other nodes that are not believed dead."""
-        return [
-            record.address
-            for record in self.living()
-            if record.address != self.own.address
-        ]
+        if self.cached_peers is None:
+            self.cached_peers = [
+                address
+                for address, member in self.members.items()
+                if member.health != Health.dead and address != self.own.address
+            ]
+        return list(self.cached_peers)
 
     def update_own(self, now: float, **changes: object) -> None:
         """Change the own record and have it told."""
@@ -138,7 +141,7 @@
             elif member.health == Health.dead and age >= DEAD_KEPT_SECONDS:
                 self.members.pop(address)
                 self.pending.pop(address, None)
-                self.cached_digest = None
+                self._drop_caches()
         return died
 
     def take_rumours(self) -> tuple[Rumour, ...]:
@@ -183,7 +186,11 @@
         self.members[address] = member
         self.pending[address] = 0
         self.changes += 1
+        self._drop_caches()
+
+    def _drop_caches(self) -> None:
         self.cached_digest = None
+        self.cached_peers = None
 
 
 def _hash_member(member: Member) -> int:
--- a/packages/core/src/kumquathold_core/purse.py
+++ b/packages/core/src/kumquathold_core/purse.py
@@ -15,7 +15,7 @@
 from kumquathold_core.buckets import GRANT_SECONDS
 from kumquathold_core.sharing import LotReport
 
-RETURN_AFTER_SECONDS = 0.5
+RETURN_AFTER_SECONDS = 0.3
 AHEAD_SECONDS = 0.2
 DEMAND_MEMORY_SECONDS = 0.5
 MAX_WANTED = 1000
@@ -79,15 +79,13 @@
     def wanted(self, waiting: int, now: float) -> int:
         """Tokens to draw for those who wait and those who will come soon."""
         self._fade(now)
-        rate = self.demand / DEMAND_MEMORY_SECONDS
-        ahead = math.floor(rate * AHEAD_SECONDS)
-        return min(max(0, waiting + ahead - self.count(now)), MAX_WANTED)
+        wanted = waiting + self._ahead() - self.count(now)
+        return min(max(0, wanted), MAX_WANTED)
 
     def is_low(self, now: float) -> bool:
         """Whether to draw ahead: half of what is kept ahead is gone."""
         self._fade(now)
-        ahead = self.demand / DEMAND_MEMORY_SECONDS * AHEAD_SECONDS
-        return ahead >= 1 and self.count(now) < ahead / 2
+        return self.count(now) < self._ahead() / 2
 
     def give_back_old(self, now: float) -> None:
         """Mark tokens that nobody wanted for a while as returned."""
@@ -118,6 +116,13 @@
         """Forget tokens that can no longer be used."""
         self.lots = deque(lot for lot in self.lots if not _is_expired(lot, now))
 
+    def _ahead(self) -> int:
+        """Tokens to keep: none after a single request, then one or more."""
+        if self.demand <= 1:
+            return 0
+        rate = self.demand / DEMAND_MEMORY_SECONDS
+        return math.ceil(rate * AHEAD_SECONDS)
+
     def _fade(self, now: float) -> None:
         elapsed = max(0, now - self.demand_at)
         self.demand *= math.exp(-elapsed / DEMAND_MEMORY_SECONDS)
--- a/packages/core/src/kumquathold_core/rules.py
+++ b/packages/core/src/kumquathold_core/rules.py
@@ -34,7 +34,7 @@
     zone = 'zone'
 
 
-class Service(msgspec.Struct, frozen=True):
+class Service(msgspec.Struct, frozen=True, gc=False):
     """A group of interchangeable upstreams."""
 
     name: str
@@ -47,7 +47,7 @@
     """How far requests may travel."""
 
 
-class Route(msgspec.Struct, frozen=True):
+class Route(msgspec.Struct, frozen=True, gc=False):
     """Which requests go to which service, and how."""
 
     method: str
@@ -83,7 +83,7 @@
         return f'{self.method} {self.path}'
 
 
-class Workspace(msgspec.Struct, frozen=True):
+class Workspace(msgspec.Struct, frozen=True, gc=False):
     """A tenant."""
 
     name: str
@@ -99,7 +99,7 @@
     """Share of an upstream's turns while requests queue."""
 
 
-class Key(msgspec.Struct, frozen=True):
+class Key(msgspec.Struct, frozen=True, gc=False):
     """A caller's credential, known by digest only."""
 
     id: str
--- a/packages/core/src/kumquathold_core/rules_file.py
+++ b/packages/core/src/kumquathold_core/rules_file.py
@@ -72,6 +72,15 @@
     column: int
 
 
+class _Place(msgspec.Struct, frozen=True, gc=False):
+    """Where a rule refers to a name that another rule defines."""
+
+    kind: str
+    name: str
+    line: int
+    column: int
+
+
 class _Line:
     """The words of one rule, taken one by one."""
 
@@ -242,14 +251,22 @@
 class _Builder:
     """Collects the rules of a file."""
 
-    __slots__ = ('keys', 'places', 'routes', 'services', 'workspaces')
+    __slots__ = (
+        'keys',
+        'places',
+        'route_names',
+        'routes',
+        'services',
+        'workspaces',
+    )
 
     def __init__(self) -> None:
         self.services: dict[str, Service] = {}
         self.routes: list[Route] = []
+        self.route_names: set[str] = set()
         self.workspaces: dict[str, Workspace] = {}
         self.keys: dict[str, Key] = {}
-        self.places: list[tuple[str, str, RuleError]] = []
+        self.places: list[_Place] = []
 
     def add_service(self, line: _Line, head: _Word) -> None:
         """Read `service NAME floor=50% zones=any`."""
@@ -294,8 +311,9 @@
                 'a route is either "once" or "idempotent"',
                 'remove one of them',
             )
-        if any(route.name == other.name for other in self.routes):
+        if route.name in self.route_names:
             raise line.error(head, f'"{route.name}" stands twice', 'keep one')
+        self.route_names.add(route.name)
         self.routes.append(route)
         self._refer(line, service_word, 'service')
 
@@ -340,9 +358,14 @@
             'workspace': self.workspaces,
         }
         return [
-            error
-            for kind, name, error in self.places
-            if name not in known[kind]
+            RuleError(
+                place.line,
+                place.column,
+                f'no {place.kind} is called "{place.name}"',
+                f'add a line "{place.kind} {place.name} …" or correct the name',
+            )
+            for place in self.places
+            if place.name not in known[place.kind]
         ]
 
     def _take_target(self, line: _Line, head: _Word) -> tuple[str, str]:
@@ -382,12 +405,7 @@
             )
 
     def _refer(self, line: _Line, word: _Word, kind: str) -> None:
-        error = line.error(
-            word,
-            f'no {kind} is called "{word.text}"',
-            f'add a line "{kind} {word.text} …" or correct the name',
-        )
-        self.places.append((kind, word.text, error))
+        self.places.append(_Place(kind, word.text, line.number, word.column))
 
 
 _ROUTE_HINT = 'write e.g. route GET /listings/* service=listings'
--- a/packages/core/src/kumquathold_core/work.py
+++ b/packages/core/src/kumquathold_core/work.py
@@ -47,6 +47,7 @@
     upstream_shed = 'upstream-shed'
     upstream_unreachable = 'upstream-unreachable'
     upstream_failed = 'upstream-failed'
+    upstream_error = 'upstream-error'
     upstream_leaving = 'upstream-leaving'
     node_leaving = 'node-leaving'
     owner_unreachable = 'owner-unreachable'
--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -15,7 +15,7 @@
 
 from kumquathold_core import balancing
 from kumquathold_core.balancing import Candidate, Load
-from kumquathold_core.ejection import Evidence
+from kumquathold_core.ejection import Evidence, Sample
 from kumquathold_core.work import Refusal
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import FleetView, Membership
@@ -28,6 +28,8 @@
 LATENCY_GAIN = 0.2
 SHUNNED_SECONDS = 3.0
 AVOIDED_PATH_SECONDS = 2.0
+EXPLORE_SHARE = 0.05
+SUSPECT_EXPLORE_SHARE = 0.5
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -96,6 +98,8 @@
             chosen = self._choose_among(usable, service, trial)
             if chosen is None:
                 return None
+            if chosen.upstream != trial:
+                chosen = self._explore(evidence, chosen, usable, service)
             load = self.loads.setdefault(chosen.upstream, Load())
             load.in_flight += 1
             return Choice(
@@ -145,12 +149,25 @@
         if is_bad:
             self.metrics.count('ingress.bad_outcomes')
 
-    def note_bad(self, service: Service, choice: Choice) -> None:
+    def note_bad(
+        self,
+        service: Service,
+        route: str,
+        choice: Choice,
+        *,
+        seconds: float,
+        failed: bool,
+    ) -> None:
         """Take in a failure, or that an answer already takes too long."""
         now = monotonic()
+        sample = Sample(now, route, seconds, failed)
         with self.lock:
             evidence = self._evidence(service.name)
-            evidence.note_outcome(choice.candidate.upstream, now, is_bad=True)
+            evidence.note_outcome(
+                choice.candidate.upstream,
+                sample,
+                is_bad=True,
+            )
             if choice.is_trial:
                 evidence.note_trial(
                     choice.candidate.upstream,
@@ -275,6 +292,36 @@
             rng=self.rng,
         )
 
+    def _explore(
+        self,
+        evidence: Evidence,
+        chosen: Candidate,
+        usable: list[Candidate],
+        service: Service,
+    ) -> Candidate:
+        """Now and then take another upstream, so that there is a comparison.
+
+        Nodes prefer the upstreams of their own zone, often a single one, and
+        could not tell a gray one from a slow service otherwise.
+        """
+        is_suspected = evidence.is_suspected(chosen.upstream)
+        share = SUSPECT_EXPLORE_SHARE if is_suspected else EXPLORE_SHARE
+        if self.rng.random() >= share:
+            return chosen
+        others = [one for one in usable if one.upstream != chosen.upstream]
+        near = [one for one in others if one.region == self.region]
+        if not near and not is_suspected:
+            return chosen
+        other = balancing.choose_upstream(
+            near or others,
+            self.loads,
+            zone=self.zone,
+            region=self.region,
+            reach=service.zones,
+            rng=self.rng,
+        )
+        return other or chosen
+
     def _report_changes(self, service: str, out: set[str]) -> None:
         before = self.out.get(service, set())
         if out == before:
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -51,6 +51,7 @@
 MIN_WAIT_SECONDS = 0.001
 PUBLIC = '-'
 SERVER_ERROR = 500
+RETRIED_STATUSES = frozenset((500, 502, 503, 504))
 
 
 class Admitted(msgspec.Struct, frozen=True):
@@ -96,6 +97,9 @@
     crashed: int = 0
     """Sendings that took an upstream down."""
 
+    answer: CallerAnswer | None = None
+    """The latest answer, where it was an error."""
+
 
 class Ingress:
     """Lets requests in and sees them through, on the caller's thread."""
@@ -117,7 +121,8 @@
 
     def handle(self, request: CallerRequest) -> CallerAnswer:
         """Answer a request; raises `Refused`."""
-        admitted = self._admit(request)
+        with self.metrics.timed('ingress.admission'):
+            admitted = self._admit(request)
         with self.budget_lock:
             self.budget.earn()
         return self._see_through(admitted)
@@ -134,7 +139,8 @@
             raise Refused(Refusal.idempotency_key_missing)
         if workspace is not None:
             self._check_freshness(route)
-            self._take_token(workspace)
+            with self.metrics.timed('ingress.token'):
+                self._take_token(workspace)
         patience = caller_requests.deadline_of(request, route)
         return Admitted(
             request=request,
@@ -192,6 +198,8 @@
             self.metrics.count(f'ingress.served_{verdict.name}')
 
     def _take_token(self, workspace: Workspace) -> None:
+        if self.rates.take_at_once(workspace.name):
+            return
         reply: Future[Refusal | None] = Future()
         self.rates.task.post(TokenWanted(workspace.name, reply))
         try:
@@ -206,14 +214,28 @@
         while True:
             ended = self._send_once(admitted, progress)
             if isinstance(ended, CallerAnswer):
-                return ended
+                progress.answer = ended
+                ended = Failure(Outcome.ran, Refusal.upstream_error)
+                if not self._is_error(admitted, progress.answer):
+                    return progress.answer
             progress.outcomes.append(ended.outcome)
             progress.crashed += 1 if ended.crashed else 0
             if not self._may_retry(admitted, progress, ended):
-                outcome = retries.combine_outcomes(progress.outcomes)
-                raise Refused(ended.reason, outcome, ended.retry_after)
+                return self._give_up(progress, ended)
             self.metrics.count(f'ingress.retries.{ended.reason.value}')
 
+    def _is_error(self, admitted: Admitted, answer: CallerAnswer) -> bool:
+        """Whether another upstream may do better at no harm."""
+        is_error = answer.status in RETRIED_STATUSES
+        return is_error and admitted.route.idempotent
+
+    def _give_up(self, progress: Progress, ended: Failure) -> CallerAnswer:
+        """Pass on an upstream's error where there is one, else refuse."""
+        if progress.answer is not None:
+            return progress.answer
+        outcome = retries.combine_outcomes(progress.outcomes)
+        raise Refused(ended.reason, outcome, ended.retry_after)
+
     def _may_retry(
         self,
         admitted: Admitted,
@@ -398,7 +420,13 @@
         is_slow = now - self.started_at > self.choice.slow_limit
         if is_slow and not self.counted and self._is_heard():
             self.counted = True
-            self.ingress.balancer.note_bad(admitted.service, self.choice)
+            self.ingress.balancer.note_bad(
+                admitted.service,
+                admitted.route.name,
+                self.choice,
+                seconds=now - self.started_at,
+                failed=False,
+            )
         if now >= admitted.deadline:
             return self._stop(mailbox, Refusal.deadline_passed)
         if admitted.request.has_gone() and not admitted.claim:
@@ -487,7 +515,13 @@
             Refusal.upstream_unreachable,
         }
         if is_gray and not self.counted:
-            balancer.note_bad(self.admitted.service, self.choice)
+            balancer.note_bad(
+                self.admitted.service,
+                self.admitted.route.name,
+                self.choice,
+                seconds=monotonic() - self.started_at,
+                failed=True,
+            )
         return Failure(
             outcome=event.outcome,
             reason=event.reason,
--- a/packages/node/src/kumquathold_node/rates.py
+++ b/packages/node/src/kumquathold_node/rates.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+import threading
 from collections import deque
 from concurrent.futures import Future
 from time import monotonic
@@ -51,6 +52,7 @@
 MAX_WAITING = 8
 EMPTY_MEMORY_SECONDS = 1.0
 FORGET_SECONDS = 5.0
+IDLE_ACCOUNT_SECONDS = 5.0
 STOP_SECONDS = 2.0
 
 
@@ -90,6 +92,13 @@
     """Nothing where it got one, else the reason."""
 
 
+class PurseLow(msgspec.Struct, frozen=True):
+    """A workspace's tokens are nearly used up."""
+
+    workspace: str
+    """Whose tokens."""
+
+
 def describe_layout(settings: Settings) -> str:
     """What all nodes must agree on for the parts to add up."""
     return f'{",".join(settings.regions)}/{settings.rate_groups}'
@@ -434,11 +443,13 @@
         others = [one for one in settings.regions if one != own]
         self.regions = [own, *others]
         self.accounts: dict[str, Account] = {}
+        self.lock = threading.Lock()
         self.number = 0
         self.task = Task(
             'rate-drawer',
             {
                 TokenWanted: self.on_token_wanted,
+                PurseLow: self.on_purse_low,
                 sharing.GrantGiven: self.on_grant_given,
             },
             tick=self.on_tick,
@@ -448,26 +459,50 @@
         kernel.register('rate-drawer', self)
         kernel.add_task(self.task)
 
+    def take_at_once(self, workspace: str) -> bool:
+        """Take a token that is there, on the caller's thread.
+
+        The lock stands in for a message to the task, which would cost two
+        changes of thread for each request.
+        """
+        now = monotonic()
+        with self.lock:
+            account = self._account(workspace, now)
+            account.purse.note_demand(now)
+            is_taken = not account.waiting and account.purse.take(now)
+            is_low = is_taken and account.purse.is_low(now)
+        if is_low:
+            self.task.post(PurseLow(workspace))
+        return is_taken
+
     def on_token_wanted(self, wanted: TokenWanted) -> None:
-        """Give a token at once, or let the request wait for one."""
+        """Let a request wait for a token, unless too many do."""
         now = monotonic()
-        account = self.accounts.get(wanted.workspace)
-        if account is None:
-            account = Account(now)
-            self.accounts[wanted.workspace] = account
-        account.purse.note_demand(now)
-        if not account.waiting and account.purse.take(now):
-            wanted.reply.set_result(None)
-        elif len(account.waiting) >= MAX_WAITING:
-            wanted.reply.set_result(Refusal.rate_exceeded)
-        else:
+        with self.lock:
+            account = self._account(wanted.workspace, now)
+            if len(account.waiting) >= MAX_WAITING:
+                wanted.reply.set_result(Refusal.rate_exceeded)
+                return
             waiting = Waiting(wanted.reply, now + TOKEN_WAIT_SECONDS)
             account.waiting.append(waiting)
-        if account.waiting or account.purse.is_low(now):
-            self._draw(wanted.workspace, account, now)
+            self._serve(account, now)
+            if account.waiting:
+                self._draw(wanted.workspace, account, now)
+
+    def on_purse_low(self, low: PurseLow) -> None:
+        """Draw ahead of the next requests."""
+        now = monotonic()
+        with self.lock:
+            account = self._account(low.workspace, now)
+            if account.purse.is_low(now):
+                self._draw(low.workspace, account, now)
 
     def on_grant_given(self, envelope: Envelope[sharing.GrantGiven]) -> None:
         """Take in a grant, and serve those who wait."""
+        with self.lock:
+            self._take_grant(envelope)
+
+    def _take_grant(self, envelope: Envelope[sharing.GrantGiven]) -> None:
         given = envelope.message
         account = self.accounts.get(given.workspace)
         ask = account.asks.pop(given.number, None) if account else None
@@ -495,7 +530,10 @@
 
     def on_tick(self) -> None:
         """Give up, give back, report and draw again."""
-        now = monotonic()
+        with self.lock:
+            self._tick(monotonic())
+
+    def _tick(self, now: float) -> None:
         reports: dict[str, list[sharing.LotReport]] = {}
         for name, account in list(self.accounts.items()):
             self._serve(account, now)
@@ -508,12 +546,19 @@
                 own = account.purse.take_reports(name, holder)
                 reports.setdefault(holder, []).extend(own)
             account.purse.drop_expired(now)
-            if _is_idle(account):
+            if _is_idle(account, now):
                 self.accounts.pop(name)
         for holder, lots in reports.items():
             message = sharing.LotsReported(reports=tuple(lots))
             self.transport.try_send(holder, message)
 
+    def _account(self, workspace: str, now: float) -> Account:
+        account = self.accounts.get(workspace)
+        if account is None:
+            account = Account(now)
+            self.accounts[workspace] = account
+        return account
+
     def _serve(self, account: Account, now: float) -> None:
         while account.waiting and account.purse.take(now):
             account.waiting.popleft().reply.set_result(None)
@@ -585,6 +630,7 @@
     return envelope.sender, envelope.incarnation, number
 
 
-def _is_idle(account: Account) -> bool:
+def _is_idle(account: Account, now: float) -> bool:
     is_busy = account.waiting or account.asks or account.purse.lots
-    return not is_busy
+    is_recent = now - account.purse.demand_at < IDLE_ACCOUNT_SECONDS
+    return not is_busy and not is_recent
--- a/packages/standins/src/kumquathold_standins/conditions.py
+++ b/packages/standins/src/kumquathold_standins/conditions.py
@@ -114,7 +114,12 @@
     """A node and its upstreams are killed, and come back."""
     node = fleet.nodes[-1]
     lost = [node.process, *(one.process for one in node.upstreams)]
-    timer = threading.Timer(1, lambda: [one.kill() for one in lost])
+
+    def kill_all() -> None:
+        for process in lost:
+            process.kill()
+
+    timer = threading.Timer(1, kill_all)
     timer.start()
     yield
     timer.join()
--- a/packages/standins/src/kumquathold_standins/measure.py
+++ b/packages/standins/src/kumquathold_standins/measure.py
@@ -11,6 +11,7 @@
 import subprocess  # noqa: S404
 import threading
 import time
+from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -33,6 +34,8 @@
 QUICK_SECONDS = 6.0
 FULL_SECONDS = 12.0
 PAUSE_SECONDS = 1.5
+WARM_UP_SECONDS = 3.0
+SETTLE_LIMIT_SECONDS = 20.0
 POLL_SECONDS = 0.1
 RATES = {'large': 60.0, 'middle': 24.0, 'small': 12.0}
 LIMIT_FACTOR = 1.5
@@ -115,12 +118,13 @@
         mark: str,
     ) -> list[Stream]:
         """The load of all workspaces."""
+        factors = {HOT: HOT_FACTOR} if hot else {}
         return [
             Stream(
                 name=name,
                 key=key_of(name),
                 addresses=addresses,
-                rate=rate * (HOT_FACTOR if hot and name == HOT else 1),
+                rate=rate * factors.get(name, 1),
                 path='/diffs/{n}',
                 headers={'X-Operation': f'{mark}-{name}-{{n}}'},
                 workers=48,
@@ -132,34 +136,61 @@
         """Call the upstreams without any proxy, for comparison."""
         addresses = tuple(one.address for one in self.fleet.upstreams)
         stream = Stream('direct', '', addresses, 60, path='/diffs/{n}')
-        (self.direct,) = run_load([stream], self.seconds)
+        self.direct = run_load([stream], self.seconds)[0]
+
+    def warm_up(self) -> None:
+        """Let both proxies open their connections."""
+        fleet = tuple(node.callers for node in self.fleet.nodes)
+        for addresses in (fleet, tuple(self.naive)):
+            streams = self.streams(addresses, hot=False, mark='warm')
+            run_load(streams, WARM_UP_SECONDS)
+
+    def settle(self) -> None:
+        """Send a little until no upstream is out from the condition before."""
+        give_up_at = time.monotonic() + SETTLE_LIMIT_SECONDS
+        while time.monotonic() < give_up_at and self._someone_out():
+            streams = self.streams(
+                self._addresses('kumquathold'),
+                hot=False,
+                mark='settle',
+            )
+            run_load(streams, PAUSE_SECONDS)
+
+    def _someone_out(self) -> bool:
+        return any(
+            node.client.get_json('/status')['ejected']
+            for node in self.fleet.nodes
+        )
 
     def measure(self, condition: Condition, proxy: str) -> Row:
         """Run one condition against one of the two."""
-        fleet = self.fleet
-        is_naive = proxy == 'naive'
-        addresses = (
-            tuple(self.naive)
-            if is_naive
-            else tuple(node.callers for node in fleet.nodes)
-        )
         mark = f'{condition.name}-{proxy}'.replace(' ', '-')
-        streams = self.streams(addresses, hot=condition.hot, mark=mark)
+        streams = self.streams(
+            self._addresses(proxy),
+            hot=condition.hot,
+            mark=mark,
+        )
+        self.settle()
         before = Usage.take(self)
-        watch = EjectionWatch(self, is_naive=is_naive)
+        watch = EjectionWatch(self, is_naive=proxy == 'naive')
         started_at = time.time()
-        with conditions.happening(condition.fault, fleet), watch.watching():
+        fault = conditions.happening(condition.fault, self.fleet)
+        with fault, watch.watching():
             results = run_load(streams, self.seconds)
-        usage = Usage.take(self).since(before)
         return self._describe(
             condition,
             proxy,
             results,
             watch,
-            usage,
+            Usage.take(self).since(before),
             self._detect(condition, mark, started_at),
         )
 
+    def _addresses(self, proxy: str) -> tuple[str, ...]:
+        if proxy == 'naive':
+            return tuple(self.naive)
+        return tuple(node.callers for node in self.fleet.nodes)
+
     def _describe(
         self,
         condition: Condition,
@@ -175,11 +206,8 @@
         percentiles = [one.percentile(99) for one in within]
         merged = merge(within)
         gray = {conditions.gray_upstream(self.fleet).address}
-        false = watch.most_out(gray if condition.has_gray else set())
         direct = self.direct or merged
         sent = sum(one.sent for one in results)
-        is_naive = proxy == 'naive'
-        retries = usage.naive_retries if is_naive else usage.retries
         return Row(
             condition=condition.name,
             proxy=proxy,
@@ -196,8 +224,10 @@
             worst_p99=max(percentiles) / statistics.median(percentiles),
             detection=detected.seconds,
             gray_runs=detected.runs,
-            false_ejections=false,
-            retries=retries / max(sent, 1),
+            false_ejections=watch.most_out(
+                gray if condition.has_gray else set(),
+            ),
+            retries=usage.retries_of(proxy) / max(sent, 1),
             platform_calls=usage.platform_calls / self.seconds,
             processor=usage.processor / self.seconds,
             memory=usage.memory,
@@ -269,6 +299,10 @@
             by_node=by_node,
         )
 
+    def retries_of(self, proxy: str) -> float:
+        """Retries of one of the two."""
+        return self.naive_retries if proxy == 'naive' else self.retries
+
     def since(self, before: Usage) -> Usage:
         """The difference to an earlier moment."""
         busiest = max(
@@ -343,22 +377,16 @@
 
 def detect(all_runs: list[float], gray: list[float], nodes: int) -> Detection:
     """When the gray upstream's share fell under half, for good."""
-    end = max(all_runs, default=0.0)
-    found_at = -1.0
-    at = 0.0
-    while at + WINDOW_SECONDS <= end:
-        until = at + WINDOW_SECONDS
-        total = sum(at <= one < until for one in all_runs)
-        own = sum(at <= one < until for one in gray)
-        fair = total / max(nodes, 1)
-        if own >= fair * GRAY_SHARE:
-            found_at = -1.0
-        elif found_at < 0:
-            found_at = at
-        at = until
-    limit = found_at if found_at >= 0 else end
-    runs = sum(one < limit for one in gray)
-    return Detection(found_at, round(runs / nodes))
+    windows = int(max(all_runs, default=0.0) / WINDOW_SECONDS)
+    total = Counter(int(at / WINDOW_SECONDS) for at in all_runs)
+    own = Counter(int(at / WINDOW_SECONDS) for at in gray)
+    first_quiet = 0
+    for window, count in total.items():
+        if window < windows and own[window] >= count / nodes * GRAY_SHARE:
+            first_quiet = max(first_quiet, window + 1)
+    limit = first_quiet * WINDOW_SECONDS
+    runs = round(sum(at < limit for at in gray) / nodes)
+    return Detection(-1 if first_quiet >= windows else limit, runs)
 
 
 def merge(results: list[Result]) -> Result:
@@ -413,7 +441,7 @@
         rules = fleet.directory / 'naive.rules'
         rules.write_text(make_rules())
         upstreams = ','.join(one.address for one in fleet.upstreams)
-        for number in range(len(fleet.nodes)):
+        for number, _ in enumerate(fleet.nodes):
             address = fleets.local(fleets.free_port())
             fleet.spawn(
                 f'naive-{number}',
@@ -428,6 +456,7 @@
             lambda: all(fleets.is_open(one) for one in bench.naive),
             'naive proxies',
         )
+        bench.warm_up()
         bench.measure_direct()
         time.sleep(PAUSE_SECONDS)
         yield bench
@@ -435,19 +464,27 @@
 
 def measure_all(seeds: range, seconds: float, *, quick: bool) -> list[Row]:
     """All conditions, with and without links, for all seeds."""
+    wanted = [one for one in CONDITIONS if one.quick or not quick]
     rows: list[Row] = []
     for seed in seeds:
         for relayed in (False, True):
-            chosen = [
-                one
-                for one in CONDITIONS
-                if one.needs_links == relayed and (one.quick or not quick)
-            ]
-            if not chosen:
-                continue
-            with running_bench(seed, seconds, relayed=relayed) as bench:
-                for condition in chosen:
-                    rows.extend(measure_both(bench, condition))
+            chosen = [one for one in wanted if one.needs_links == relayed]
+            if chosen:
+                rows.extend(measure_some(chosen, seed, seconds))
+    return rows
+
+
+def measure_some(
+    chosen: list[Condition],
+    seed: int,
+    seconds: float,
+) -> list[Row]:
+    """Conditions that one fleet can go through."""
+    relayed = chosen[0].needs_links
+    rows: list[Row] = []
+    with running_bench(seed, seconds, relayed=relayed) as bench:
+        for condition in chosen:
+            rows.extend(measure_both(bench, condition))
     return rows
 
 
@@ -545,7 +582,7 @@
     names = list(dict.fromkeys(row.condition for row in rows))
     figure, axes = plt.subplots(1, 2, figsize=(12, 0.5 * len(names) + 2))
     kinds = (
-        ('failed or wrongly refused, in 100', lambda row: lost_share(row)),
+        ('failed or wrongly refused, in 100', lost_share),
         ('added ms for 99 in 100', lambda row: max(row.added_p99, 0.1)),
     )
     for axis, (title, read) in zip(axes, kinds, strict=True):
--- a/packages/standins/src/kumquathold_standins/naive.py
+++ b/packages/standins/src/kumquathold_standins/naive.py
@@ -11,6 +11,7 @@
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
 
 import click
 import msgspec
@@ -193,16 +194,16 @@
 @click.command()
 @click.option('--listen', required=True, help='IP:port')
 @click.option('--upstreams', required=True, help='With commas.')
-@click.option('--rules', 'rules_path', required=True, type=click.File())
+@click.option('--rules', 'rules_path', required=True)
 @click.option('--nodes', required=True, type=int)
 def main(
     listen: str,
     upstreams: str,
-    rules_path: click.utils.LazyFile,
+    rules_path: str,
     nodes: int,
 ) -> None:
     """Run one naive proxy."""
-    rules = parse_rules(rules_path.read())
+    rules = parse_rules(Path(rules_path).read_text(encoding='utf-8'))
     proxy = NaiveProxy(upstreams.split(','), rules, nodes)
     host, _, port = listen.rpartition(':')
     handler = type('Handler', (NaiveHandler,), {'proxy': proxy})
