Split the large modules of the node by their jobs

Rates become election, holder and drawer; a sending, the owner's jobs and its replies get modules of their own; a task's handlers say which messages it gets, instead of a second list; the two ways to send a message are one. Behaviour is unchanged.

--- a/packages/core/src/kumquathold_core/wire.py
+++ b/packages/core/src/kumquathold_core/wire.py
@@ -9,7 +9,7 @@
 
 import hashlib
 import hmac
-from typing import Any, Generic, TypeVar
+from typing import Any, Generic, TypeVar, get_args
 
 import msgspec
 
@@ -43,6 +43,8 @@
     | sharing.LotsReported
 )
 
+MESSAGE_KINDS = frozenset(get_args(Message))
+
 
 class WireError(Exception):
     """A frame that is not taken."""
--- a/packages/node/src/kumquathold_node/claims_service.py
+++ b/packages/node/src/kumquathold_node/claims_service.py
@@ -11,7 +11,6 @@
 import queue
 import uuid
 from time import monotonic
-from typing import TYPE_CHECKING
 
 import msgspec
 from loguru import logger
@@ -19,6 +18,7 @@
 from kumquathold_core import claims, platform_keys
 from kumquathold_core.claims import Claim, ClaimState, KeptAnswer
 from kumquathold_core.work import Outcome, Refusal
+from kumquathold_node.jobs import Job
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.platform import (
@@ -31,9 +31,6 @@
 from kumquathold_node.settings import Settings
 from kumquathold_node.upstream_calls import CallFailed, UpstreamAnswer
 
-if TYPE_CHECKING:
-    from kumquathold_node.owner import Job
-
 HOUR_SECONDS = 3600
 GROUP_SIZE = 48
 SWAP_ATTEMPTS = 4
--- a/packages/node/src/kumquathold_node/configuration.py
+++ b/packages/node/src/kumquathold_node/configuration.py
@@ -143,12 +143,7 @@
                 VersionHeard: self.on_version_heard,
             },
         )
-        self.transport.deliver_to(
-            self.task,
-            sharing.NewsSpread,
-            sharing.SnapshotAsked,
-            sharing.SnapshotSent,
-        )
+        self.transport.deliver_to(self.task)
         self.freshness.on_version_heard = self._hear_version
         kernel.register('configuration', self)
         kernel.add_task(self.task)
--- a/packages/node/src/kumquathold_node/exchanges.py
+++ b/packages/node/src/kumquathold_node/exchanges.py
@@ -78,13 +78,7 @@
             },
             tick=self.on_tick,
         )
-        self.transport.deliver_to(
-            self.task,
-            work.AnswerReady,
-            work.AnswerPieceSent,
-            work.WorkFailed,
-            work.WorkInHand,
-        )
+        self.transport.deliver_to(self.task)
         kernel.register('exchanges', self)
         kernel.add_task(self.task)
 
--- a/packages/node/src/kumquathold_node/leaving.py
+++ b/packages/node/src/kumquathold_node/leaving.py
@@ -16,7 +16,7 @@
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import Membership, NodeLeaving
 from kumquathold_node.owner import LeavingBegun, Owner
-from kumquathold_node.rates import RateElection
+from kumquathold_node.rate_election import RateElection
 from kumquathold_node.settings import Settings
 
 QUIET_LIMIT_SECONDS = 20.0
--- a/packages/node/src/kumquathold_node/main.py
+++ b/packages/node/src/kumquathold_node/main.py
@@ -32,7 +32,9 @@
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner import Owner
 from kumquathold_node.platform import Platform
-from kumquathold_node.rates import RateDrawer, RateElection, RateHolder
+from kumquathold_node.rate_drawer import RateDrawer
+from kumquathold_node.rate_election import RateElection
+from kumquathold_node.rate_holder import RateHolder
 from kumquathold_node.seeds import Seeds
 from kumquathold_node.settings import Settings
 from kumquathold_node.transport import AddressInUse, Transport
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -156,15 +156,7 @@
             tick=self.run_round,
             tick_seconds=ROUND_SECONDS,
         )
-        self.transport.deliver_to(
-            self.task,
-            gossip.PingSent,
-            gossip.PongSent,
-            gossip.IndirectPingAsked,
-            gossip.IndirectPongSent,
-            gossip.TableAsked,
-            gossip.TableSent,
-        )
+        self.transport.deliver_to(self.task)
         kernel.register('membership', self)
         kernel.add_task(self.task)
 
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -14,16 +14,18 @@
 import msgspec
 from loguru import logger
 
-from kumquathold_core import assembly, crashes, turns, wire, work
-from kumquathold_core.memory import Entry, RequestMemory, State
+from kumquathold_core import assembly, crashes, wire, work
+from kumquathold_core.memory import RequestMemory
 from kumquathold_core.work import Outcome, Refusal
 from kumquathold_node import claims_service
 from kumquathold_node.announcements import Announced
 from kumquathold_node.configuration import ConfigurationService
+from kumquathold_node.jobs import Job, Upstream
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import Membership, UpstreamsChanged
 from kumquathold_node.metrics import Metrics
-from kumquathold_node.transport import LinkFull, Transport
+from kumquathold_node.owner_replies import OwnerReplies, make_failure
+from kumquathold_node.transport import Transport
 from kumquathold_node.upstream_calls import (
     CallFailed,
     UpstreamAnswer,
@@ -31,63 +33,14 @@
 )
 
 if TYPE_CHECKING:
-    from kumquathold_core.identity import RequestId, UpstreamRecord
+    from kumquathold_core.identity import RequestId
     from kumquathold_core.wire import Envelope
 
 TICK_SECONDS = 0.25
 WORKER_THREADS = 64
-OVERLOAD_RETRY_SECONDS = 1.0
 QUEUE_SHARE_OF_DEADLINE = 0.5
 
 
-class Job(msgspec.Struct, eq=False):
-    """A request at this owner."""
-
-    work: work.WorkRequested
-    """What the ingress asked for."""
-
-    reply_to: str
-    """Peer address of the ingress."""
-
-    queued_at: float
-    """Own monotonic clock, in seconds."""
-
-    body: bytes = b''
-    """The whole body, once it is there."""
-
-    started_at: float = 0.0
-    """When it got its slot."""
-
-    @property
-    def request(self) -> RequestId:
-        """Names the sending."""
-        return self.work.request
-
-    @property
-    def fingerprint(self) -> bytes:
-        """Equal for its repetitions."""
-        return crashes.fingerprint_request(
-            self.work.workspace,
-            self.work.method,
-            self.work.target,
-            self.work.body_digest,
-        )
-
-
-class Upstream:
-    """An upstream beside this node."""
-
-    __slots__ = ('calls', 'expires_at', 'in_use', 'queue', 'record')
-
-    def __init__(self, record: UpstreamRecord, expires_at: float) -> None:
-        """Start with nothing in hand."""
-        self.record = record
-        self.expires_at = expires_at
-        self.calls = UpstreamCalls(record.name)
-        self.queue: turns.TurnQueue[Job] = turns.TurnQueue()
-        self.in_use = 0
-
-
 class CallAnswered(msgspec.Struct, frozen=True):
     """An upstream answered."""
 
@@ -130,6 +83,11 @@
         self.marks = crashes.CrashMarks()
         self.is_leaving = False
         self.workers = ThreadPoolExecutor(WORKER_THREADS, 'owner-worker')
+        self.replies = OwnerReplies(
+            self.transport,
+            self.workers,
+            self.metrics,
+        )
         self.task = Task(
             'owner',
             {
@@ -149,14 +107,7 @@
             tick=self.on_tick,
             tick_seconds=TICK_SECONDS,
         )
-        self.transport.deliver_to(
-            self.task,
-            work.WorkRequested,
-            work.RequestPieceSent,
-            work.InquiryMade,
-            work.WorkCancelled,
-            work.CrashSeen,
-        )
+        self.transport.deliver_to(self.task)
         kernel.register('owner', self)
         kernel.add_task(self.task)
 
@@ -171,11 +122,13 @@
         now = monotonic()
         job = Job(work=asked, reply_to=envelope.sender, queued_at=now)
         if asked.owner_incarnation != self.transport.incarnation:
-            self._tell_failure(job, Outcome.not_run, Refusal.owner_restarted)
+            self.replies.tell_failure(
+                job, Outcome.not_run, Refusal.owner_restarted
+            )
             return
         known = self.memory.admit(asked.request, now)
         if known is not None:
-            self._tell_known(envelope.sender, asked.request, known)
+            self.replies.tell_known(envelope.sender, asked.request, known)
             return
         self.opening[asked.request] = job
         self._assemble(
@@ -212,7 +165,7 @@
         """Say what became of a request; an unseen one never runs."""
         asked = envelope.message
         if asked.owner_incarnation != self.transport.incarnation:
-            failure = _failure(
+            failure = make_failure(
                 asked.request,
                 Outcome.unknown,
                 Refusal.owner_restarted,
@@ -220,7 +173,7 @@
             self.transport.try_send(envelope.sender, failure)
             return
         entry = self.memory.refuse_forever(asked.request, monotonic())
-        self._tell_known(envelope.sender, asked.request, entry)
+        self.replies.tell_known(envelope.sender, asked.request, entry)
 
     def on_work_cancelled(self, envelope: Envelope[work.WorkCancelled]) -> None:
         """Stop a request whose caller has gone, where that does no harm."""
@@ -233,7 +186,7 @@
             return
         job = self.jobs.get(asked.request)
         if job is None:
-            self._tell_known(envelope.sender, asked.request, entry)
+            self.replies.tell_known(envelope.sender, asked.request, entry)
             return
         upstream = self.upstreams.get(job.work.upstream)
         if upstream is None:
@@ -483,7 +436,7 @@
         )
         self.jobs.pop(job.request, None)
         self.memory.keep_answer(answer, ended.body)
-        self._send_answer(job.reply_to, answer, ended.body)
+        self.replies.send_answer(job.reply_to, answer, ended.body)
 
     def _fail(
         self,
@@ -495,60 +448,10 @@
     ) -> None:
         self.metrics.count(f'owner.refused.{reason.value}')
         self.jobs.pop(job.request, None)
-        failure = _failure(job.request, outcome, reason, crashed=crashed)
+        failure = make_failure(job.request, outcome, reason, crashed=crashed)
         self.memory.keep_failure(failure)
         self.transport.try_send(job.reply_to, failure)
 
-    def _tell_failure(
-        self,
-        job: Job,
-        outcome: Outcome,
-        reason: Refusal,
-    ) -> None:
-        failure = _failure(job.request, outcome, reason)
-        self.transport.try_send(job.reply_to, failure)
-
-    def _tell_known(
-        self,
-        receiver: str,
-        request: RequestId,
-        entry: Entry,
-    ) -> None:
-        if entry.answer is None:
-            word = _describe_entry(request, entry)
-            self.transport.try_send(receiver, word)
-        else:
-            self._send_answer(receiver, entry.answer, entry.body)
-
-    def _send_answer(
-        self,
-        receiver: str,
-        answer: work.AnswerReady,
-        body: bytes,
-    ) -> None:
-        if len(body) <= work.PIECE_BYTES:
-            self.transport.try_send(receiver, answer)
-        else:
-            self.workers.submit(self._send_large, receiver, answer, body)
-
-    def _send_large(
-        self,
-        receiver: str,
-        answer: work.AnswerReady,
-        body: bytes,
-    ) -> None:
-        _, rest = assembly.split_body(body)
-        try:
-            self.transport.send_with_body(
-                receiver,
-                answer,
-                rest,
-                work.AnswerPieceSent,
-                answer.request,
-            )
-        except LinkFull:
-            self.metrics.count('owner.answers_not_sent')
-
     def _note_down(self, name: str) -> None:
         """Take an upstream that refuses connections out until it announces.
 
@@ -587,34 +490,3 @@
     def _tell_upstreams(self) -> None:
         records = tuple(one.record for one in self.upstreams.values())
         self.membership.task.post(UpstreamsChanged(records))
-
-
-def _describe_entry(
-    request: RequestId,
-    entry: Entry,
-) -> work.WorkInHand | work.WorkFailed:
-    if entry.state in {State.queued, State.running}:
-        return work.WorkInHand(request=request)
-    if entry.failure is not None:
-        return entry.failure
-    if entry.state == State.refused_forever:
-        reason = Refusal.owner_unreachable
-        return _failure(request, Outcome.not_run, reason)
-    return _failure(request, Outcome.ran, Refusal.answer_not_kept)
-
-
-def _failure(
-    request: RequestId,
-    outcome: Outcome,
-    reason: Refusal,
-    *,
-    crashed: bool = False,
-) -> work.WorkFailed:
-    is_overload = reason in {Refusal.overloaded, Refusal.upstream_shed}
-    return work.WorkFailed(
-        request=request,
-        outcome=outcome,
-        reason=reason,
-        retry_after=OVERLOAD_RETRY_SECONDS if is_overload else 0,
-        crashed=crashed,
-    )
--- /dev/null
+++ b/packages/node/src/kumquathold_node/owner_replies.py
@@ -0,0 +1,117 @@
+"""What an owner tells the ingresses."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+
+from kumquathold_core import assembly, work
+from kumquathold_core.identity import RequestId
+from kumquathold_core.memory import Entry, State
+from kumquathold_core.work import Outcome, Refusal
+from kumquathold_node.jobs import Job
+from kumquathold_node.metrics import Metrics
+from kumquathold_node.transport import LinkFull, Transport
+
+OVERLOAD_RETRY_SECONDS = 1.0
+
+
+class OwnerReplies:
+    """Sends words and answers; keeps nothing."""
+
+    __slots__ = ('metrics', 'transport', 'workers')
+
+    def __init__(
+        self,
+        transport: Transport,
+        workers: ThreadPoolExecutor,
+        metrics: Metrics,
+    ) -> None:
+        """Take what is needed to send."""
+        self.transport = transport
+        self.workers = workers
+        self.metrics = metrics
+
+    def tell_failure(
+        self,
+        job: Job,
+        outcome: Outcome,
+        reason: Refusal,
+    ) -> None:
+        """Tell a failure that needs no remembering."""
+        failure = make_failure(job.request, outcome, reason)
+        self.transport.try_send(job.reply_to, failure)
+
+    def tell_known(
+        self,
+        receiver: str,
+        request: RequestId,
+        entry: Entry,
+    ) -> None:
+        """Tell where a known request stands."""
+        if entry.answer is None:
+            word = _describe_entry(request, entry)
+            self.transport.try_send(receiver, word)
+        else:
+            self.send_answer(receiver, entry.answer, entry.body)
+
+    def send_answer(
+        self,
+        receiver: str,
+        answer: work.AnswerReady,
+        body: bytes,
+    ) -> None:
+        """Send an answer; a large one on a worker thread."""
+        if len(body) <= work.PIECE_BYTES:
+            self.transport.try_send(receiver, answer)
+        else:
+            self.workers.submit(self._send_large, receiver, answer, body)
+
+    def _send_large(
+        self,
+        receiver: str,
+        answer: work.AnswerReady,
+        body: bytes,
+    ) -> None:
+        _, rest = assembly.split_body(body)
+        try:
+            self.transport.send_with_body(
+                receiver,
+                answer,
+                rest,
+                work.AnswerPieceSent,
+                answer.request,
+            )
+        except LinkFull:
+            self.metrics.count('owner.answers_not_sent')
+
+
+def _describe_entry(
+    request: RequestId,
+    entry: Entry,
+) -> work.WorkInHand | work.WorkFailed:
+    if entry.state in {State.queued, State.running}:
+        return work.WorkInHand(request=request)
+    if entry.failure is not None:
+        return entry.failure
+    if entry.state == State.refused_forever:
+        reason = Refusal.owner_unreachable
+        return make_failure(request, Outcome.not_run, reason)
+    return make_failure(request, Outcome.ran, Refusal.answer_not_kept)
+
+
+def make_failure(
+    request: RequestId,
+    outcome: Outcome,
+    reason: Refusal,
+    *,
+    crashed: bool = False,
+) -> work.WorkFailed:
+    """Make the word that a request gave no answer."""
+    is_overload = reason in {Refusal.overloaded, Refusal.upstream_shed}
+    return work.WorkFailed(
+        request=request,
+        outcome=outcome,
+        reason=reason,
+        retry_after=OVERLOAD_RETRY_SECONDS if is_overload else 0,
+        crashed=crashed,
+    )
--- /dev/null
+++ b/packages/node/src/kumquathold_node/rate_drawer.py
@@ -0,0 +1,290 @@
+"""The rate drawer: draws grants for the requests that this node lets in.
+
+The nearest region's holder is asked first, then the other regions'.
+"""
+
+from __future__ import annotations
+
+import math
+import threading
+from collections import deque
+from concurrent.futures import Future
+from time import monotonic
+
+import msgspec
+
+from kumquathold_core import buckets, sharing
+from kumquathold_core.purse import DrawnLot, Purse
+from kumquathold_core.wire import Envelope
+from kumquathold_core.work import Refusal
+from kumquathold_node.kernel import Kernel, Task
+from kumquathold_node.membership import Membership
+from kumquathold_node.metrics import Metrics
+from kumquathold_node.settings import Settings
+from kumquathold_node.transport import Transport
+
+DRAW_TICK_SECONDS = 0.05
+TOKEN_WAIT_SECONDS = 0.5
+ASK_PATIENCE_SECONDS = 0.25
+SILENT_HOLDER_SECONDS = 0.5
+NOT_HOLDER_SECONDS = 0.25
+MAX_WAITING = 8
+EMPTY_MEMORY_SECONDS = 1.0
+IDLE_ACCOUNT_SECONDS = 5.0
+
+
+class TokenWanted(msgspec.Struct, frozen=True):
+    """A request needs a token."""
+
+    workspace: str
+    """Whose token."""
+
+    reply: Future[Refusal | None]
+    """Nothing where it got one, else the reason."""
+
+
+class PurseLow(msgspec.Struct, frozen=True):
+    """A workspace's tokens are nearly used up."""
+
+    workspace: str
+    """Whose tokens."""
+
+
+class Ask(msgspec.Struct):
+    """A question to a holder that awaits its answer."""
+
+    holder: str
+    """Peer address."""
+
+    asked_at: float
+    """Own monotonic clock, in seconds."""
+
+    is_late: bool = False
+    """Whether another holder was asked since."""
+
+
+class Waiting(msgspec.Struct, eq=False):
+    """A request that waits for a token."""
+
+    reply: Future[Refusal | None]
+    """Takes the outcome."""
+
+    give_up_at: float
+    """Own monotonic clock, in seconds."""
+
+
+class Account:
+    """What this ingress has of one workspace's tokens."""
+
+    __slots__ = ('asks', 'blocked', 'empty_at', 'purse', 'silent', 'waiting')
+
+    def __init__(self, now: float) -> None:
+        """Start with nothing."""
+        self.purse = Purse(now)
+        self.waiting: deque[Waiting] = deque()
+        self.asks: dict[int, Ask] = {}
+        self.blocked: dict[str, float] = {}
+        self.silent: set[str] = set()
+        self.empty_at = -math.inf
+
+
+class RateDrawer:
+    """Draws tokens for the requests that this node lets in."""
+
+    def __init__(self, kernel: Kernel, settings: Settings) -> None:
+        """Find the services that are needed, and register."""
+        self.transport: Transport = kernel.find('transport')
+        self.membership: Membership = kernel.find('membership')
+        self.metrics: Metrics = kernel.find('metrics')
+        self.settings = settings
+        own = settings.region
+        others = [one for one in settings.regions if one != own]
+        self.regions = [own, *others]
+        self.accounts: dict[str, Account] = {}
+        self.lock = threading.Lock()
+        self.number = 0
+        self.task = Task(
+            'rate-drawer',
+            {
+                TokenWanted: self.on_token_wanted,
+                PurseLow: self.on_purse_low,
+                sharing.GrantGiven: self.on_grant_given,
+            },
+            tick=self.on_tick,
+            tick_seconds=DRAW_TICK_SECONDS,
+        )
+        self.transport.deliver_to(self.task)
+        kernel.register('rate-drawer', self)
+        kernel.add_task(self.task)
+
+    def take_at_once(self, workspace: str) -> bool:
+        """Take a token that is there, on the caller's thread.
+
+        The lock stands in for a message to the task, which would cost two
+        changes of thread for each request.
+        """
+        now = monotonic()
+        with self.lock:
+            account = self._account(workspace, now)
+            account.purse.note_demand(now)
+            is_taken = not account.waiting and account.purse.take(now)
+            is_low = is_taken and account.purse.is_low(now)
+        if is_low:
+            self.task.post(PurseLow(workspace))
+        return is_taken
+
+    def on_token_wanted(self, wanted: TokenWanted) -> None:
+        """Let a request wait for a token, unless too many do."""
+        now = monotonic()
+        with self.lock:
+            account = self._account(wanted.workspace, now)
+            if len(account.waiting) >= MAX_WAITING:
+                wanted.reply.set_result(Refusal.rate_exceeded)
+                return
+            waiting = Waiting(wanted.reply, now + TOKEN_WAIT_SECONDS)
+            account.waiting.append(waiting)
+            self._serve(account, now)
+            if account.waiting:
+                self._draw(wanted.workspace, account, now)
+
+    def on_purse_low(self, low: PurseLow) -> None:
+        """Draw ahead of the next requests."""
+        now = monotonic()
+        with self.lock:
+            account = self._account(low.workspace, now)
+            if account.purse.is_low(now):
+                self._draw(low.workspace, account, now)
+
+    def on_grant_given(self, envelope: Envelope[sharing.GrantGiven]) -> None:
+        """Take in a grant, and serve those who wait."""
+        with self.lock:
+            self._take_grant(envelope)
+
+    def _take_grant(self, envelope: Envelope[sharing.GrantGiven]) -> None:
+        given = envelope.message
+        account = self.accounts.get(given.workspace)
+        ask = account.asks.pop(given.number, None) if account else None
+        if account is None or ask is None:
+            return
+        now = monotonic()
+        account.silent.discard(envelope.sender)
+        if given.tokens:
+            account.purse.add(
+                DrawnLot(
+                    envelope.sender,
+                    given.number,
+                    given.tokens,
+                    ask.asked_at,
+                ),
+            )
+        elif given.is_holder:
+            account.empty_at = now
+            account.blocked[envelope.sender] = now + given.retry_after
+        else:
+            account.blocked[envelope.sender] = now + NOT_HOLDER_SECONDS
+        self._serve(account, now)
+        if account.waiting:
+            self._draw(given.workspace, account, now)
+
+    def on_tick(self) -> None:
+        """Give up, give back, report and draw again."""
+        with self.lock:
+            self._tick(monotonic())
+
+    def _tick(self, now: float) -> None:
+        reports: dict[str, list[sharing.LotReport]] = {}
+        for name, account in list(self.accounts.items()):
+            self._serve(account, now)
+            self._expire_asks(account, now)
+            if account.waiting:
+                self._draw(name, account, now)
+            self._refuse_late(account, now)
+            account.purse.give_back_old(now)
+            for holder in account.purse.holders():
+                own = account.purse.take_reports(name, holder)
+                reports.setdefault(holder, []).extend(own)
+            account.purse.drop_expired(now)
+            if _is_idle(account, now):
+                self.accounts.pop(name)
+        for holder, lots in reports.items():
+            message = sharing.LotsReported(reports=tuple(lots))
+            self.transport.try_send(holder, message)
+
+    def _account(self, workspace: str, now: float) -> Account:
+        account = self.accounts.get(workspace)
+        if account is None:
+            account = Account(now)
+            self.accounts[workspace] = account
+        return account
+
+    def _serve(self, account: Account, now: float) -> None:
+        while account.waiting and account.purse.take(now):
+            account.waiting.popleft().reply.set_result(None)
+
+    def _expire_asks(self, account: Account, now: float) -> None:
+        for number, ask in list(account.asks.items()):
+            age = now - ask.asked_at
+            if age >= buckets.GRANT_SECONDS:
+                account.asks.pop(number)
+            elif age >= ASK_PATIENCE_SECONDS and not ask.is_late:
+                ask.is_late = True
+                self._note_silence(account, ask.holder, now)
+
+    def _note_silence(
+        self,
+        account: Account,
+        holder: str,
+        now: float,
+    ) -> None:
+        """Ask once more on a new connection, then leave the holder alone."""
+        self.metrics.count('rates.holder_silent')
+        self.transport.reset(holder)
+        if holder in account.silent:
+            account.blocked[holder] = now + SILENT_HOLDER_SECONDS
+        account.silent.add(holder)
+
+    def _refuse_late(self, account: Account, now: float) -> None:
+        while account.waiting and account.waiting[0].give_up_at <= now:
+            is_empty = now - account.empty_at <= EMPTY_MEMORY_SECONDS
+            account.waiting.popleft().reply.set_result(
+                Refusal.rate_exceeded if is_empty else Refusal.rate_unavailable,
+            )
+
+    def _draw(self, name: str, account: Account, now: float) -> None:
+        if any(not ask.is_late for ask in account.asks.values()):
+            return
+        wanted = account.purse.wanted(len(account.waiting), now)
+        holder = self._choose_holder(name, account, now)
+        if not wanted or holder is None:
+            return
+        self.number += 1
+        reports = account.purse.take_reports(name, holder)
+        account.asks[self.number] = Ask(holder, now)
+        self.metrics.count('rates.asked')
+        asked = sharing.GrantAsked(
+            number=self.number,
+            workspace=name,
+            wanted=wanted,
+            reports=tuple(reports),
+        )
+        self.transport.try_send(holder, asked)
+
+    def _choose_holder(
+        self,
+        name: str,
+        account: Account,
+        now: float,
+    ) -> str | None:
+        group = buckets.group_of(name, self.settings.rate_groups)
+        holders = self.membership.view.holders
+        for region in self.regions:
+            holder = holders.get((region, group))
+            if holder and account.blocked.get(holder, 0) <= now:
+                return holder
+        return None
+
+
+def _is_idle(account: Account, now: float) -> bool:
+    is_busy = account.waiting or account.asks or account.purse.lots
+    is_recent = now - account.purse.demand_at < IDLE_ACCOUNT_SECONDS
+    return not is_busy and not is_recent
--- a/packages/node/src/kumquathold_node/transport.py
+++ b/packages/node/src/kumquathold_node/transport.py
@@ -82,22 +82,15 @@
         self.is_open = True
         self.forgery_logged_at = 0.0
 
-    def deliver_to(self, task: Task, *kinds: type) -> None:
-        """Have messages of these kinds put into a task's inbox."""
-        for kind in kinds:
-            self.receivers[kind] = task
+    def deliver_to(self, task: Task) -> None:
+        """Have the messages that a task handles put into its inbox."""
+        for kind in task.handlers:
+            if kind in wire.MESSAGE_KINDS:
+                self.receivers[kind] = task
 
     def send(self, receiver: str, message: wire.Message) -> None:
         """Send a small message without waiting; raises `LinkFull`."""
-        if receiver == self.address:
-            self._dispatch(self._envelop(message))
-            return
-        frame = wire.encode_frame(
-            self._envelop(message),
-            receiver,
-            self.secret,
-        )
-        self._push(receiver, frame, block=False)
+        self._send(receiver, message, block=False)
 
     def try_send(self, receiver: str, message: wire.Message) -> bool:
         """Send a message that nobody misses; false where it was not sent."""
@@ -120,10 +113,10 @@
         Waits while the peer is slow to take them; raises `LinkFull` where it
         takes nothing for `BODY_SEND_TIMEOUT_MS`.
         """
-        self._send_waiting(receiver, opening)
+        self._send(receiver, opening, block=True)
         for offset, chunk in pieces:
             piece = kind(request=request, offset=offset, chunk=chunk)
-            self._send_waiting(receiver, piece)  # type: ignore[arg-type]
+            self._send(receiver, piece, block=True)  # type: ignore[arg-type]
 
     def reset(self, receiver: str) -> None:
         """Drop the connection to a peer; the next send makes a new one."""
@@ -184,16 +177,19 @@
             message=message,
         )
 
-    def _send_waiting(self, receiver: str, message: wire.Message) -> None:
+    def _send(
+        self,
+        receiver: str,
+        message: wire.Message,
+        *,
+        block: bool,
+    ) -> None:
+        envelope = self._envelop(message)
         if receiver == self.address:
-            self._dispatch(self._envelop(message))
+            self._dispatch(envelope)
             return
-        frame = wire.encode_frame(
-            self._envelop(message),
-            receiver,
-            self.secret,
-        )
-        self._push(receiver, frame, block=True)
+        frame = wire.encode_frame(envelope, receiver, self.secret)
+        self._push(receiver, frame, block=block)
 
     def _push(self, receiver: str, frame: bytes, *, block: bool) -> None:
         link = self._link(receiver)
