--- a/packages/standins/src/kumquathold_standins/measure.py
+++ b/packages/standins/src/kumquathold_standins/measure.py
@@ -619,13 +619,14 @@
 
 
 @click.command()
-@click.option('--full', is_flag=True, help='All conditions, three seeds.')
+@click.option('--full', is_flag=True, help='All conditions.')
+@click.option('--seeds', default=3, help='Repeats of the full form.')
 @click.option('--out', default='out', help='Directory for the report.')
-def main(*, full: bool, out: str) -> None:
+def main(*, full: bool, seeds: int, out: str) -> None:
     """Measure the product beside the naive baseline."""
-    seeds = range(1, 4) if full else range(1, 2)
+    drawn = range(1, seeds + 1) if full else range(1, 2)
     seconds = FULL_SECONDS if full else QUICK_SECONDS
-    rows = measure_all(seeds, seconds, quick=not full)
+    rows = measure_all(drawn, seconds, quick=not full)
     command = 'make measure-full' if full else 'make measure'
     write_report(rows, Path(out), command)
     click.echo(f'report in {out}/report.md')
