Take versions in force out of the gossiped records; leave no group unheld

Change: versions are heard with heartbeats, and accept asks the nodes that are behind once more; a record of the own process is swapped again. Peers of a sending are now called its context.

--- a/packages/cli/src/kumquathold_cli/changes.py
+++ b/packages/cli/src/kumquathold_cli/changes.py
@@ -125,7 +125,7 @@
 
 
 def _read_progress(client: Client, version: int) -> InForce:
-    status = client.get_json('/status')
+    status = client.get_json('/status', {'refresh': 'yes'})
     reached: list[str] = []
     missing: list[str] = []
     for node in status['nodes']:
--- a/packages/core/src/kumquathold_core/identity.py
+++ b/packages/core/src/kumquathold_core/identity.py
@@ -70,6 +70,3 @@
 
     rate_groups: tuple[int, ...]
     """Groups of workspaces whose rate this node holds in its region."""
-
-    config_version: int
-    """Newest accepted configuration that the node has in force."""
--- a/packages/node/src/kumquathold_node/administration.py
+++ b/packages/node/src/kumquathold_node/administration.py
@@ -25,7 +25,7 @@
 from kumquathold_node.configuration import ConfigurationService
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.kernel import Kernel
-from kumquathold_node.membership import Membership
+from kumquathold_node.membership import Membership, PingWanted
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner import Owner
 from kumquathold_node.platform import Platform, PlatformError
@@ -124,14 +124,25 @@
     return reply_json(metrics.read())
 
 
-def show_status(kernel: Kernel, _: OperatorCall) -> Reply:
-    """Show the node itself, and the fleet as it sees it."""
+def show_status(kernel: Kernel, call: OperatorCall) -> Reply:
+    """Show the node itself, and the fleet as it sees it.
+
+    With `refresh`, nodes that have not said that they have the newest version
+    in force are asked once more; a later call shows what they answered.
+    """
     membership: Membership = kernel.find('membership')
     freshness: FreshnessService = kernel.find('freshness')
     owner: Owner = kernel.find('owner')
     balancer: Balancer = kernel.find('balancer')
     door: Door = kernel.find('door')
     view = membership.view
+    versions = {
+        node.address: freshness.version_of(node.address) for node in view.nodes
+    }
+    if 'refresh' in call.query:
+        for address, version in versions.items():
+            if version < freshness.version:
+                membership.task.post(PingWanted(address))
     return reply_json(
         {
             'node': membership.table.own.address,
@@ -145,6 +156,7 @@
             'nodes': [
                 {
                     **msgspec.structs.asdict(node),
+                    'config_version': versions[node.address],
                     'upstreams': [
                         msgspec.structs.asdict(one) for one in node.upstreams
                     ],
--- a/packages/node/src/kumquathold_node/configuration.py
+++ b/packages/node/src/kumquathold_node/configuration.py
@@ -24,7 +24,6 @@
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import (
-    ConfigurationInForce,
     Membership,
     PingWanted,
 )
@@ -218,8 +217,6 @@
         self.current = configuration
         self.freshness.adopt(configuration.version)
         self.fetched_at = -FETCH_AGAIN_SECONDS
-        in_force = ConfigurationInForce(configuration.version)
-        self.membership.task.post(in_force)
         for listener in self.listeners:
             listener(configuration)
         logger.info('configuration in force', version=configuration.version)
--- a/packages/node/src/kumquathold_node/freshness_service.py
+++ b/packages/node/src/kumquathold_node/freshness_service.py
@@ -41,6 +41,7 @@
         self.is_near_store = settings.region == settings.store_region
         self.store_region = settings.store_region
         self.keeper = FreshnessKeeper()
+        self.versions: dict[str, int] = {}
         self.lock = threading.Lock()
         self.on_version_heard: VersionHeard = _ignore_version
         kernel.register('freshness', self)
@@ -79,10 +80,17 @@
         self.hear_version(peer, told)
 
     def hear_version(self, peer: str, told: Freshness) -> None:
-        """Have a higher version fetched from the peer that has it."""
+        """Note a peer's version, and have a higher one fetched from it."""
+        self.versions[peer] = told.version
         if told.version > self.keeper.version:
             self.on_version_heard(peer, told.version)
 
+    def version_of(self, peer: str) -> int:
+        """The version that a node last said it had in force."""
+        if peer == self.own:
+            return self.keeper.version
+        return self.versions.get(peer, 0)
+
     def describe(self) -> Freshness:
         """What to tell a peer."""
         with self.lock:
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -35,7 +35,7 @@
     RateDrawer,
     TokenWanted,
 )
-from kumquathold_node.sending import Admitted, Peers, Sending
+from kumquathold_node.sending import Admitted, Sending, SendingContext
 
 RETRIED_STATUSES = frozenset((500, 502, 503, 504))
 
@@ -63,7 +63,7 @@
         """Find the services that are needed, and register."""
         self.configuration: ConfigurationService = kernel.find('configuration')
         self.freshness: FreshnessService = kernel.find('freshness')
-        self.peers = Peers(kernel)
+        self.context = SendingContext(kernel)
         self.balancer: Balancer = kernel.find('balancer')
         self.rates: RateDrawer = kernel.find('rate-drawer')
         self.metrics: Metrics = kernel.find('metrics')
@@ -225,7 +225,7 @@
             return Failure(Outcome.not_run, Refusal.no_upstream)
         progress.tried.add(choice.candidate.upstream)
         try:
-            sending = Sending(self.peers, admitted, choice, progress.crashed)
+            sending = Sending(self.context, admitted, choice, progress.crashed)
             return sending.run()
         finally:
             self.balancer.finish(choice)
--- a/packages/node/src/kumquathold_node/main.py
+++ b/packages/node/src/kumquathold_node/main.py
@@ -144,7 +144,6 @@
         leaving=False,
         upstreams=(),
         rate_groups=(),
-        config_version=0,
     )
 
 
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -50,13 +50,6 @@
     """All that are held now."""
 
 
-class ConfigurationInForce(msgspec.Struct, frozen=True):
-    """The own node put a configuration in force."""
-
-    version: int
-    """Its version."""
-
-
 class NodeLeaving(msgspec.Struct, frozen=True):
     """The own node takes no new work from now on."""
 
@@ -147,7 +140,6 @@
                 gossip.TableSent: self.on_table_sent,
                 UpstreamsChanged: self.on_upstreams_changed,
                 GroupsHeld: self.on_groups_held,
-                ConfigurationInForce: self.on_configuration_in_force,
                 NodeLeaving: self.on_node_leaving,
                 PeersGiven: self.on_peers_given,
                 PingWanted: self.on_ping_wanted,
@@ -279,11 +271,6 @@
         self.table.update_own(monotonic(), rate_groups=change.groups)
         self._spread_now()
 
-    def on_configuration_in_force(self, change: ConfigurationInForce) -> None:
-        """Tell the fleet with the next heartbeats."""
-        self.table.update_own(monotonic(), config_version=change.version)
-        self._refresh_view()
-
     def on_node_leaving(self, _: NodeLeaving) -> None:
         """Tell the fleet at once."""
         self.table.update_own(monotonic(), leaving=True)
--- a/packages/node/src/kumquathold_node/rate_election.py
+++ b/packages/node/src/kumquathold_node/rate_election.py
@@ -46,7 +46,7 @@
 
 def describe_layout(settings: Settings) -> str:
     """What all nodes must agree on for the parts to add up."""
-    return f'{",".join(settings.regions)}/{settings.rate_groups}'
+    return f'{",".join(sorted(settings.regions))}/{settings.rate_groups}'
 
 
 class RateElection:
@@ -155,6 +155,7 @@
             group
             for group in range(self.settings.rate_groups)
             if (region, group) not in view.holders
+            and group not in self.ready_at
             and members.rank_nodes(nodes, f'group {group}')[0].address
             == self.settings.peer
         ]
@@ -171,10 +172,11 @@
                 own=self.layout,
             )
             return False
-        # Binding the address proves that the earlier process is gone.
+        # Binding the address proves that an earlier process is gone; a record
+        # of this process was written by a swap whose reply was lost.
         is_same_address = record.address == self.settings.peer
-        is_earlier = record.incarnation < self.transport.incarnation
-        return is_same_address and is_earlier
+        is_later = record.incarnation > self.transport.incarnation
+        return is_same_address and not is_later
 
     def _make_write(self, group: int, stored: dict[str, Stored]) -> Write:
         found = stored.get(self._key(group))
--- a/packages/node/src/kumquathold_node/sending.py
+++ b/packages/node/src/kumquathold_node/sending.py
@@ -13,18 +13,11 @@
 from kumquathold_core.assembly import split_body
 from kumquathold_core.identity import RequestId
 from kumquathold_core.retries import Failure
-from kumquathold_core.rules import (
-    Route,
-    Service,
-    Workspace,
-)
+from kumquathold_core.rules import Route, Service, Workspace
 from kumquathold_core.work import Outcome, Refusal
 from kumquathold_node import caller_requests
 from kumquathold_node.balancer import Balancer, Choice
-from kumquathold_node.caller_requests import (
-    CallerAnswer,
-    CallerRequest,
-)
+from kumquathold_node.caller_requests import CallerAnswer, CallerRequest
 from kumquathold_node.configuration import Configuration
 from kumquathold_node.exchanges import Answered, Exchanges, Mailbox
 from kumquathold_node.kernel import Kernel
@@ -75,7 +68,7 @@
     """Digest of its body."""
 
 
-class Peers:
+class SendingContext:
     """The services that a sending needs, and the count of sendings."""
 
     __slots__ = (
@@ -103,24 +96,24 @@
     __slots__ = (
         'admitted',
         'choice',
+        'context',
         'counted',
         'crashed',
         'inquiries',
         'owner_incarnation',
-        'peers',
         'request',
         'started_at',
     )
 
     def __init__(
         self,
-        peers: Peers,
+        context: SendingContext,
         admitted: Admitted,
         choice: Choice,
         crashed: int,
     ) -> None:
         """Number the sending."""
-        self.peers = peers
+        self.context = context
         self.admitted = admitted
         self.choice = choice
         self.crashed = crashed
@@ -129,9 +122,9 @@
         self.owner_incarnation = 0
         self.started_at = monotonic()
         self.request = RequestId(
-            sender=peers.transport.address,
-            incarnation=peers.transport.incarnation,
-            number=next(peers.numbers),
+            sender=context.transport.address,
+            incarnation=context.transport.incarnation,
+            number=next(context.numbers),
         )
 
     @property
@@ -145,7 +138,7 @@
         if deadline is None:
             self._note_silence()
             return Failure(Outcome.not_run, Refusal.owner_unreachable)
-        with self.peers.exchanges.exchange(self.request) as mailbox:
+        with self.context.exchanges.exchange(self.request) as mailbox:
             try:
                 self._send(deadline)
             except LinkFull:
@@ -161,8 +154,8 @@
 
     def _owner_deadline(self) -> float | None:
         """The caller's deadline by the owner's clock, if that is known."""
-        membership = self.peers.membership
-        own = self.peers.transport
+        membership = self.context.membership
+        own = self.context.transport
         now = monotonic()
         left = self.admitted.deadline - now
         if self.owner == own.address:
@@ -199,7 +192,7 @@
             body_digest=admitted.body_digest,
             body=first,
         )
-        self.peers.transport.send_with_body(
+        self.context.transport.send_with_body(
             self.owner,
             asked,
             rest,
@@ -238,7 +231,7 @@
         is_slow = now - self.started_at > self.choice.slow_limit
         if is_slow and not self.counted and self._is_heard():
             self.counted = True
-            self.peers.balancer.note_bad(
+            self.context.balancer.note_bad(
                 admitted.service,
                 admitted.route.name,
                 self.choice,
@@ -255,7 +248,7 @@
 
     def _inquire(self) -> Failure | None:
         self.inquiries += 1
-        transport = self.peers.transport
+        transport = self.context.transport
         silence = monotonic() - transport.last_heard(self.owner)
         if self.inquiries > 1 and silence >= SILENT_LINK_SECONDS:
             transport.reset(self.owner)
@@ -275,7 +268,7 @@
         """Whether waiting on can bring nothing that is needed."""
         if self.admitted.route.idempotent:
             return True
-        node = self.peers.membership.view.by_address.get(self.owner)
+        node = self.context.membership.view.by_address.get(self.owner)
         return node is None or node.incarnation != self.owner_incarnation
 
     def _stop(self, mailbox: Mailbox, reason: Refusal) -> Failure:
@@ -300,7 +293,7 @@
 
     def _on_answered(self, event: Answered) -> CallerAnswer:
         answer = event.answer
-        self.peers.balancer.note_answer(
+        self.context.balancer.note_answer(
             self.admitted.service,
             self.admitted.route.name,
             self.choice,
@@ -309,7 +302,7 @@
             failed=answer.status >= SERVER_ERROR,
             counted=self.counted or answer.replayed,
         )
-        self.peers.metrics.time(
+        self.context.metrics.time(
             'ingress.hops',
             monotonic()
             - self.started_at
@@ -326,7 +319,7 @@
         )
 
     def _on_failed(self, event: work.WorkFailed) -> Failure:
-        balancer = self.peers.balancer
+        balancer = self.context.balancer
         balancer.note_refusal(self.choice, event.reason)
         is_gray = event.reason in {
             Refusal.upstream_failed,
@@ -348,14 +341,14 @@
         )
 
     def _is_heard(self) -> bool:
-        if self.owner == self.peers.transport.address:
+        if self.owner == self.context.transport.address:
             return True
-        heard_at = self.peers.transport.last_heard(self.owner)
+        heard_at = self.context.transport.last_heard(self.owner)
         return monotonic() - heard_at < SILENT_LINK_SECONDS
 
     def _note_silence(self) -> None:
-        self.peers.balancer.note_silent_path(self.owner)
+        self.context.balancer.note_silent_path(self.owner)
 
     def _say(self, message: work.InquiryMade | work.WorkCancelled) -> None:
-        if not self.peers.transport.try_send(self.owner, message):
+        if not self.context.transport.try_send(self.owner, message):
             logger.debug('owner takes no messages', peer=self.owner)
