--- a/tests/run.py
+++ b/tests/run.py
@@ -25,7 +25,7 @@
     """Run, and give the exit code."""
     suite = unittest.defaultTestLoader.discover(
         str(ROOT / 'tests'),
-        top_level_directory=str(ROOT),
+        top_level_dir=str(ROOT),
     )
     result = unittest.TextTestRunner().run(suite)
     failed = result.failures + result.errors
