--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := packages/core packages/node packages/cli packages/standins
-SOURCES := packages tests
+SOURCES := packages platform tests
 
 .PHONY: demo test lint measure measure-full slopes format clean
 
--- /dev/null
+++ b/packages/core/src/kumquathold_core/admission.py
@@ -0,0 +1,66 @@
+"""Decides whether an owner takes a request, and why not.
+
+Pure: the numbers are passed in. The load that this answers: requests reach an
+owner from ingresses that know its upstream's load only as of their last
+answer. Where the upstream is busy or suspect, a request that may still go
+elsewhere is sent back at once, which costs one hop and no arrival. A request
+that was told to wait here is refused only where it cannot be served before its
+deadline.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from kumquathold_core.work import Refusal
+
+MIN_SERVICE_SECONDS = 0.01
+
+
+class UpstreamLoad(msgspec.Struct, frozen=True):
+    """What an owner knows of its upstream."""
+
+    slots: int
+    """Requests that it runs at the same time."""
+
+    running: int
+    """Requests that it runs now."""
+
+    waiting: int
+    """Requests that wait for a slot ahead of the new one."""
+
+    service_seconds: float
+    """Smoothed time of a request."""
+
+    is_suspect: bool
+    """Whether it is expected to fail its next request."""
+
+    trials: int
+    """Idempotent requests that try it now while it is suspect."""
+
+
+def expect_wait(load: UpstreamLoad) -> float:
+    """Seconds until a new request gets a slot, as expected."""
+    ahead = load.running + load.waiting - load.slots + 1
+    if ahead <= 0:
+        return 0.0
+    seconds = max(load.service_seconds, MIN_SERVICE_SECONDS)
+    return ahead * seconds / load.slots
+
+
+def find_refusal(
+    load: UpstreamLoad,
+    *,
+    seconds_left: float,
+    idempotent: bool,
+    firm: bool,
+) -> Refusal | None:
+    """Why the request is not taken, or nothing where it is."""
+    if not firm and load.is_suspect and not (idempotent and not load.trials):
+        return Refusal.upstream_suspect
+    wait = expect_wait(load)
+    if not firm and wait > 0:
+        return Refusal.upstream_busy
+    if wait + load.service_seconds / 2 > seconds_left:
+        return Refusal.overloaded
+    return None
--- a/packages/core/src/kumquathold_core/identity.py
+++ b/packages/core/src/kumquathold_core/identity.py
@@ -26,7 +26,7 @@
     """What one upstream announced about itself."""
 
     name: str
-    """Unique in the fleet: the announced `host:port`."""
+    """Unique in the fleet."""
 
     service: str
     """The service that the upstream offers."""
@@ -40,6 +40,12 @@
     leaving: bool
     """True once it asked for no further work."""
 
+    address: str = ''
+    """Where it takes requests, `host:port`; the name where empty."""
+
+    lifetime: int = 0
+    """Its start in Unix milliseconds, 0 where it does not say."""
+
 
 class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
     """What a node says about itself, spread by gossip."""
--- /dev/null
+++ b/packages/core/src/kumquathold_core/lifetimes.py
@@ -0,0 +1,69 @@
+"""Orders what upstreams announce about themselves.
+
+An announcement may arrive late: after a newer one of the same process, after
+the process has ended, or after another process took its address. An upstream
+that has said that it leaves does not come back within the same lifetime.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+MAX_REMEMBERED = 256
+
+
+class Sighting(msgspec.Struct, frozen=True, order=True):
+    """When an announcement was made, by the upstream's own count."""
+
+    lifetime: int = 0
+    """Start of the upstream's process in Unix milliseconds."""
+
+    sequence: int = 0
+    """Counts the announcements of that process."""
+
+
+class LastSeen(msgspec.Struct):
+    """The newest that is known of one upstream."""
+
+    sighting: Sighting
+    """The newest announcement."""
+
+    has_left: bool = False
+    """Whether it said in this lifetime that it leaves."""
+
+
+class Lifetimes:
+    """The newest announcement of each upstream beside an owner."""
+
+    def __init__(self) -> None:
+        """Start knowing none."""
+        self.seen: dict[str, LastSeen] = {}
+
+    def admit(self, name: str, sighting: Sighting, *, leaving: bool) -> bool:
+        """Whether an announcement is news; false for one that is late."""
+        known = self.seen.get(name)
+        if known is None:
+            self.seen[name] = LastSeen(sighting, leaving)
+            self._shrink()
+            return True
+        if sighting.lifetime > known.sighting.lifetime:
+            self.seen[name] = LastSeen(sighting, leaving)
+            return True
+        is_late = sighting < known.sighting
+        if is_late or (known.has_left and not leaving):
+            return False
+        known.sighting = sighting
+        known.has_left = known.has_left or leaving
+        return True
+
+    def leave(self, name: str, lifetime: int) -> None:
+        """Note that an upstream has deregistered."""
+        known = self.seen.get(name)
+        if known is None:
+            self.seen[name] = LastSeen(Sighting(lifetime), has_left=True)
+        elif lifetime in {0, known.sighting.lifetime}:
+            known.has_left = True
+
+    def _shrink(self) -> None:
+        while len(self.seen) > MAX_REMEMBERED:
+            self.seen.pop(next(iter(self.seen)))
--- a/packages/core/src/kumquathold_core/retries.py
+++ b/packages/core/src/kumquathold_core/retries.py
@@ -15,6 +15,7 @@
 BUDGET_PER_REQUEST = 0.1
 BUDGET_MAX = 10.0
 MAX_ATTEMPTS = 4
+MAX_SENDINGS = 8
 
 FINAL = frozenset(
     (
@@ -33,18 +34,39 @@
 """Refusals that no other upstream would decide differently."""
 
 
+NEVER_ARRIVED = frozenset(
+    (
+        Refusal.upstream_leaving,
+        Refusal.node_leaving,
+        Refusal.overloaded,
+        Refusal.owner_restarted,
+        Refusal.owner_unreachable,
+        Refusal.upstream_unreachable,
+        Refusal.malformed,
+        Refusal.no_upstream,
+    )
+)
+"""Refusals, where not run, of requests that reached no upstream."""
+
+
 class RetryBudget:
     """Tokens for retries, earned by first sendings."""
 
-    __slots__ = ('tokens',)
+    __slots__ = ('most', 'ratio', 'tokens')
 
-    def __init__(self) -> None:
-        """Start with enough for a node's first mishaps."""
-        self.tokens = BUDGET_MAX
+    def __init__(
+        self,
+        ratio: float = BUDGET_PER_REQUEST,
+        most: float = BUDGET_MAX,
+    ) -> None:
+        """Earn `ratio` of a retry a request, and start with `most`."""
+        self.ratio = ratio
+        self.most = most
+        self.tokens = most
 
     def earn(self) -> None:
         """Count a first sending."""
-        self.tokens = min(self.tokens + BUDGET_PER_REQUEST, BUDGET_MAX)
+        self.tokens = min(self.tokens + self.ratio, self.most)
 
     def spend(self) -> bool:
         """Take a retry out of the budget; false where it is spent."""
@@ -70,6 +92,12 @@
     """Seconds after which trying again makes sense."""
 
 
+def has_arrived(failure: Failure) -> bool:
+    """Whether an upstream may have seen the request."""
+    is_known = failure.outcome == Outcome.not_run
+    return not (is_known and failure.reason in NEVER_ARRIVED)
+
+
 def is_repeatable(failure: Failure, *, idempotent: bool, claimed: bool) -> bool:
     """Whether sending again can do no harm."""
     if failure.reason in FINAL:
@@ -84,13 +112,14 @@
     claimed: bool,
     attempts: int,
     crashed: int,
+    most: int = MAX_ATTEMPTS,
 ) -> bool:
     """Whether to send again, the budget aside.
 
-    `attempts` counts the sendings so far, `crashed` those among them that
-    took an upstream down.
+    `attempts` counts the sendings so far, of which `most` are allowed,
+    `crashed` those among them that took an upstream down.
     """
-    if attempts >= MAX_ATTEMPTS or crashed >= MAX_CRASHES:
+    if attempts >= most or crashed >= MAX_CRASHES:
         return False
     return is_repeatable(failure, idempotent=idempotent, claimed=claimed)
 
--- a/packages/core/src/kumquathold_core/routing.py
+++ b/packages/core/src/kumquathold_core/routing.py
@@ -9,8 +9,8 @@
 WILDCARD = '*'
 
 
-class RouteTable(msgspec.Struct, frozen=True):
-    """Routes by path, for look-ups whose cost grows with the path's length."""
+class HostRoutes(msgspec.Struct, frozen=True):
+    """The routes of one host."""
 
     exact: dict[str, dict[str, Route]]
     """By path, then method."""
@@ -22,11 +22,11 @@
     """Lengths of all prefixes, longest first."""
 
     @classmethod
-    def from_rules(cls, rules: Rules) -> RouteTable:
-        """Index the routes of a configuration."""
+    def from_routes(cls, routes: list[Route]) -> HostRoutes:
+        """Index the routes of one host."""
         exact: dict[str, dict[str, Route]] = {}
         prefixes: dict[str, dict[str, Route]] = {}
-        for route in rules.routes:
+        for route in routes:
             is_prefix = route.path.endswith(WILDCARD)
             table = prefixes if is_prefix else exact
             path = route.path.removesuffix(WILDCARD)
@@ -35,6 +35,25 @@
         return cls(exact=exact, prefixes=prefixes, lengths=tuple(lengths))
 
 
+class RouteTable(msgspec.Struct, frozen=True):
+    """Routes by path, for look-ups whose cost grows with the path's length."""
+
+    hosts: dict[str, HostRoutes]
+    """By host in lower case; the empty one takes any host."""
+
+    @classmethod
+    def from_rules(cls, rules: Rules) -> RouteTable:
+        """Index the routes of a configuration."""
+        by_host: dict[str, list[Route]] = {}
+        for route in rules.routes:
+            by_host.setdefault(route.host, []).append(route)
+        hosts = {
+            host: HostRoutes.from_routes(routes)
+            for host, routes in by_host.items()
+        }
+        return cls(hosts=hosts)
+
+
 class RouteMatch(msgspec.Struct, frozen=True):
     """What a look-up found."""
 
@@ -45,15 +64,21 @@
     """Methods of the best path, where none takes the request's method."""
 
 
-def match_route(table: RouteTable, method: str, path: str) -> RouteMatch:
+def match_route(
+    table: RouteTable,
+    method: str,
+    path: str,
+    host: str = '',
+) -> RouteMatch:
     """Find the route: an exact path first, then the longest prefix.
 
-    Among the routes of one path, the request's method goes before `*`, and
-    HEAD falls back to GET. A path whose routes do not take the method hands
-    over to the next shorter one.
+    The routes of the request's host go before those that take any host. Among
+    the routes of one path, the request's method goes before `*`, and HEAD
+    falls back to GET. A path whose routes do not take the method hands over to
+    the next shorter one.
     """
     allowed: list[str] = []
-    for methods in _candidates(table, path):
+    for methods in _candidates(table, path, host.lower()):
         route = _pick_method(methods, method)
         if route is not None:
             return RouteMatch(route=route, allowed=())
@@ -61,11 +86,27 @@
     return RouteMatch(route=None, allowed=tuple(sorted(set(allowed))))
 
 
-def _candidates(table: RouteTable, path: str) -> list[dict[str, Route]]:
-    exact = table.exact.get(path)
+def _candidates(
+    table: RouteTable,
+    path: str,
+    host: str,
+) -> list[dict[str, Route]]:
+    found: list[dict[str, Route]] = []
+    for name in dict.fromkeys((host, '')):
+        routes = table.hosts.get(name)
+        if routes is not None:
+            found.extend(_candidates_of_host(routes, path))
+    return found
+
+
+def _candidates_of_host(
+    routes: HostRoutes,
+    path: str,
+) -> list[dict[str, Route]]:
+    exact = routes.exact.get(path)
     found = [] if exact is None else [exact]
-    for length in table.lengths:
-        methods = table.prefixes.get(path[:length])
+    for length in routes.lengths:
+        methods = routes.prefixes.get(path[:length])
         if length <= len(path) and methods is not None:
             found.append(methods)
     return found
--- a/packages/core/src/kumquathold_core/rules.py
+++ b/packages/core/src/kumquathold_core/rules.py
@@ -17,6 +17,8 @@
 
 DEFAULT_DEADLINE_SECONDS = 10.0
 DEFAULT_BODY_BYTES = 8_388_608
+DEFAULT_ATTEMPTS = 4
+OPAQUE_ID_DIGITS = 16
 
 
 class Stale(enum.StrEnum):
@@ -47,7 +49,17 @@
     """How far requests may travel."""
 
 
-class Route(msgspec.Struct, frozen=True, gc=False):
+class WeightedService(msgspec.Struct, frozen=True, gc=False):
+    """A service that gets a part of a route's requests."""
+
+    service: str
+    """Name of the service."""
+
+    weight: int
+    """Its part, relative to the weights beside it."""
+
+
+class Route(msgspec.Struct, frozen=True):
     """Which requests go to which service, and how."""
 
     method: str
@@ -77,10 +89,32 @@
     stale: Stale = Stale.refuse
     """What to do while no proof of freshness is to be had."""
 
+    host: str = ''
+    """Host that the request must name, in lower case; empty for any."""
+
+    split: tuple[WeightedService, ...] = ()
+    """Services that share the requests; empty where `service` gets all."""
+
+    attempts: int = DEFAULT_ATTEMPTS
+    """Most upstreams that one request may be sent to."""
+
+    objective: float = 0.0
+    """Seconds within which an answer is worth most; 0 where unknown."""
+
+    priority: int = 0
+    """Rank while requests queue; 0 goes first."""
+
     @property
     def name(self) -> str:
-        """The route's stable name: method and path."""
-        return f'{self.method} {self.path}'
+        """The route's stable name: method, host and path."""
+        return f'{self.method} {self.host}{self.path}'
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Names of all services that may get its requests."""
+        if not self.split:
+            return (self.service,)
+        return tuple(part.service for part in self.split)
 
 
 class Workspace(msgspec.Struct, frozen=True, gc=False):
@@ -90,7 +124,7 @@
     """Unique name."""
 
     rate: float
-    """Requests a second over the whole fleet."""
+    """Requests a second over the whole fleet; 0 for no limit."""
 
     burst: int
     """Requests at once over the whole fleet."""
@@ -98,6 +132,9 @@
     weight: int = 1
     """Share of an upstream's turns while requests queue."""
 
+    priority: int | None = None
+    """Rank while requests queue, in place of the route's where given."""
+
 
 class Key(msgspec.Struct, frozen=True, gc=False):
     """A caller's credential, known by digest only."""
@@ -137,6 +174,11 @@
     return hashlib.sha256(key.encode()).digest()
 
 
+def opaque_key_id(digest: bytes) -> str:
+    """The id of a key that does not carry one: the start of its digest."""
+    return f'sha256-{digest.hex()[:OPAQUE_ID_DIGITS]}'
+
+
 def key_id_of(key: str) -> str | None:
     """The id inside a key `kq_ID_SECRET`, or nothing for other text."""
     parts = key.split('_')
@@ -147,8 +189,8 @@
 
 def authenticate_key(rules: Rules, key: str) -> Key | None:
     """The known key that a caller presented, compared in constant time."""
-    key_id = key_id_of(key)
-    known = rules.keys.get(key_id) if key_id else None
+    digest = digest_key(key)
+    known = rules.keys.get(key_id_of(key) or opaque_key_id(digest))
     expected = known.digest if known else bytes(hashlib.sha256().digest_size)
-    is_equal = hmac.compare_digest(digest_key(key), expected)
+    is_equal = hmac.compare_digest(digest, expected)
     return known if is_equal else None
--- a/packages/core/src/kumquathold_core/rules_file.py
+++ b/packages/core/src/kumquathold_core/rules_file.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from kumquathold_core.rules import (
+    DEFAULT_ATTEMPTS,
     DEFAULT_BODY_BYTES,
     DEFAULT_DEADLINE_SECONDS,
     Key,
@@ -20,6 +21,7 @@
     Rules,
     Service,
     Stale,
+    WeightedService,
     Workspace,
     ZoneChoice,
 )
@@ -32,11 +34,14 @@
 MAX_BODY_BYTES = 67_108_864
 MAX_RATE = 1e6
 MAX_WEIGHT = 100
+MAX_ATTEMPTS = 16
+MAX_PRIORITY = 100
 DIGEST_HEX_DIGITS = 64
 VERSION_LINE = re.compile(r'^# version: (\d+)\s*$')
 
 _WORD = re.compile(r'\S+')
 _NAME = re.compile(r'[a-z0-9][a-z0-9._-]*\Z')
+_HOST = re.compile(r'[a-z0-9][a-z0-9.-]*(?::\d+)?\Z')
 _ASKED_BY = re.compile(r'#\s*asked by\s+\S')
 _DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)\Z')
 _SIZE = re.compile(r'(\d+)(B|KB|MB)\Z')
@@ -192,6 +197,46 @@
     return int(word.text)
 
 
+def _parse_attempts(line: _Line, word: _Word) -> int:
+    return _parse_count(line, word, MAX_ATTEMPTS)
+
+
+def _parse_priority(line: _Line, word: _Word) -> int:
+    if not word.text.isdecimal() or int(word.text) > MAX_PRIORITY:
+        raise line.error(
+            word,
+            f'"{word.text}" is no rank from 0 to {MAX_PRIORITY}',
+            'write e.g. 0 for the first rank',
+        )
+    return int(word.text)
+
+
+def _parse_host(line: _Line, word: _Word) -> str:
+    if not _HOST.match(word.text):
+        raise line.error(
+            word,
+            f'"{word.text}" is no host',
+            'write small letters, digits, ".", "-" and a port where needed',
+        )
+    return word.text
+
+
+def _parse_split(line: _Line, word: _Word) -> tuple[WeightedService, ...]:
+    """Read `NAME` or `NAME:90,OTHER:10`."""
+    parts = []
+    for text in word.text.split(','):
+        name, _, weight = text.partition(':')
+        named = _Word(name, word.column)
+        weighed = _Word(weight or '1', word.column)
+        parts.append(
+            WeightedService(
+                service=_parse_name(line, named),
+                weight=_parse_count(line, weighed, MAX_WEIGHT),
+            ),
+        )
+    return tuple(parts)
+
+
 def _parse_digest(line: _Line, word: _Word) -> bytes:
     digits = word.text.removeprefix('sha256:')
     if len(digits) != DIGEST_HEX_DIGITS or digits == word.text:
@@ -288,10 +333,16 @@
         """Read `route METHOD PATH service=NAME …`."""
         method, path = self._take_target(line, head)
         service_word = _need(line, head, 'service', 'service=NAME')
+        split = _parse_split(line, service_word)
         route = Route(
             method=method,
             path=path,
-            service=_parse_name(line, service_word),
+            service=split[0].service,
+            split=split if len(split) > 1 else (),
+            host=_take(line, 'host', _parse_host, ''),
+            attempts=_take(line, 'attempts', _parse_attempts, DEFAULT_ATTEMPTS),
+            objective=_take(line, 'objective', _parse_duration, 0.0),
+            priority=_take(line, 'priority', _parse_priority, 0),
             public=line.take_flag('public'),
             idempotent=line.take_flag('idempotent') or method in SAFE_METHODS,
             once=line.take_flag('once'),
@@ -315,10 +366,12 @@
             raise line.error(head, f'"{route.name}" stands twice', 'keep one')
         self.route_names.add(route.name)
         self.routes.append(route)
-        self._refer(line, service_word, 'service')
+        for part in split:
+            named = _Word(part.service, service_word.column)
+            self._refer(line, named, 'service')
 
     def add_workspace(self, line: _Line, head: _Word) -> None:
-        """Read `workspace NAME rate=50 burst=100 weight=1`."""
+        """Read `workspace NAME rate=50 burst=100 weight=1 priority=0`."""
         rate_word = _need(line, head, 'rate', 'rate=50')
         burst_word = _need(line, head, 'burst', 'burst=100')
         weight_word = line.take_option('weight')
@@ -331,8 +384,9 @@
                 if weight_word
                 else 1
             ),
+            priority=_take(line, 'priority', _parse_priority, None),
         )
-        line.refuse_leftovers('rate=, burst= and weight=')
+        line.refuse_leftovers('rate=, burst=, weight= and priority=')
         self._refuse_twin(line, head, workspace.name, self.workspaces)
         self.workspaces[workspace.name] = workspace
 
@@ -409,7 +463,10 @@
 
 
 _ROUTE_HINT = 'write e.g. route GET /listings/* service=listings'
-_ROUTE_WORDS = 'service=, public, idempotent, once, deadline=, body= and stale='
+_ROUTE_WORDS = (
+    'service=, host=, public, idempotent, once, deadline=, objective=, '
+    'attempts=, priority=, body= and stale='
+)
 _RULES: dict[str, Callable[[_Builder, _Line, _Word], None]] = {
     'service': _Builder.add_service,
     'route': _Builder.add_route,
--- a/packages/core/src/kumquathold_core/turns.py
+++ b/packages/core/src/kumquathold_core/turns.py
@@ -77,3 +77,57 @@
         self.order.remove(workspace)
         self.credit.pop(workspace)
         self.weights.pop(workspace)
+
+
+class RankedQueue(Generic[Item]):
+    """Waiting requests by rank; those of one rank take turns."""
+
+    __slots__ = ('ranks',)
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.ranks: dict[int, TurnQueue[Item]] = {}
+
+    @property
+    def size(self) -> int:
+        """All waiting requests."""
+        return sum(queue.size for queue in self.ranks.values())
+
+    def ahead_of(self, rank: int) -> int:
+        """Requests that a new one of this rank would wait behind."""
+        return sum(
+            queue.size for other, queue in self.ranks.items() if other <= rank
+        )
+
+    def push(
+        self,
+        rank: int,
+        workspace: str,
+        weight: int,
+        waiting: Item,
+    ) -> bool:
+        """Add a request; false where the queue of its rank is full."""
+        queue = self.ranks.setdefault(rank, TurnQueue())
+        return queue.push(workspace, weight, waiting)
+
+    def pop(self) -> Item | None:
+        """Take the request whose turn it is, of the first rank that waits."""
+        for rank in sorted(self.ranks):
+            waiting = self.ranks[rank].pop()
+            if waiting is not None:
+                return waiting
+        return None
+
+    def remove(self, rank: int, workspace: str, waiting: Item) -> bool:
+        """Take a request out, wherever it stands."""
+        queue = self.ranks.get(rank)
+        return queue is not None and queue.remove(workspace, waiting)
+
+    def drain(self) -> list[Item]:
+        """Take all requests out."""
+        waiting: list[Item] = []
+        while True:
+            item = self.pop()
+            if item is None:
+                return waiting
+            waiting.append(item)
--- a/packages/core/src/kumquathold_core/work.py
+++ b/packages/core/src/kumquathold_core/work.py
@@ -49,6 +49,9 @@
     upstream_failed = 'upstream-failed'
     upstream_error = 'upstream-error'
     upstream_leaving = 'upstream-leaving'
+    upstream_replaced = 'upstream-replaced'
+    upstream_busy = 'upstream-busy'
+    upstream_suspect = 'upstream-suspect'
     node_leaving = 'node-leaving'
     owner_unreachable = 'owner-unreachable'
     owner_restarted = 'owner-restarted'
@@ -90,6 +93,9 @@
     route: str
     """Name of the route, for fingerprints and reports."""
 
+    caller_id: str
+    """The caller's own id of the request, for logs."""
+
     method: str
     """HTTP method."""
 
@@ -108,6 +114,12 @@
     crashes: int
     """Upstreams that this request has crashed so far."""
 
+    rank: int
+    """Place among waiting requests; lower goes first."""
+
+    firm: bool
+    """Whether to wait here even where the upstream is busy or suspect."""
+
     body_bytes: int
     """Length of the whole body."""
 
@@ -157,8 +169,11 @@
     queued_seconds: float
     """Time in the owner's queue."""
 
-    in_use: int
-    """Slots of the upstream in use when it answered."""
+    backlog: int
+    """Requests that ran or waited at the upstream when it answered."""
+
+    suspect: bool
+    """Whether the owner expects the upstream to fail its next request."""
 
     replayed: bool
     """True where the answer is the first one to a repeated request."""
@@ -191,6 +206,15 @@
     crashed: bool
     """True where the upstream's process went away during the request."""
 
+    backlog: int = 0
+    """Requests that run or wait at the upstream."""
+
+    wait: float = 0.0
+    """Seconds that a request would wait there for a slot, as expected."""
+
+    suspect: bool = False
+    """Whether the owner expects the upstream to fail its next request."""
+
 
 class InquiryMade(msgspec.Struct, frozen=True, array_like=True, tag='inquiry'):
     """An ingress that heard nothing asks what became of a request.
@@ -204,6 +228,9 @@
     owner_incarnation: int
     """The owner process that was sent the request."""
 
+    repeated: bool = False
+    """Whether the answer to an earlier inquiry did not arrive."""
+
 
 class WorkInHand(msgspec.Struct, frozen=True, array_like=True, tag='in-hand'):
     """An owner tells that a request waits or runs."""
--- a/packages/node/src/kumquathold_node/acceptance.py
+++ b/packages/node/src/kumquathold_node/acceptance.py
@@ -20,7 +20,7 @@
     ConfigurationService,
 )
 from kumquathold_node.kernel import Kernel
-from kumquathold_node.platform import (
+from kumquathold_node.store import (
     Platform,
     PlatformError,
     Stored,
--- a/packages/node/src/kumquathold_node/administration.py
+++ b/packages/node/src/kumquathold_node/administration.py
@@ -28,8 +28,8 @@
 from kumquathold_node.membership import Membership, PingWanted
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner import Owner
-from kumquathold_node.platform import Platform, PlatformError
 from kumquathold_node.settings import Settings
+from kumquathold_node.store import Platform, PlatformError
 
 if TYPE_CHECKING:
     from kumquathold_core.manifest import Manifest
--- a/packages/node/src/kumquathold_node/announcements.py
+++ b/packages/node/src/kumquathold_node/announcements.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from kumquathold_core.identity import UpstreamRecord
+from kumquathold_core.lifetimes import Sighting
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.settings import SettingsError, parse_address
 
@@ -78,6 +79,22 @@
     reply: Future[tuple[int, int]]
     """Takes the requests that run and wait."""
 
+    sighting: Sighting = Sighting()
+    """When it was made, by the upstream's own count."""
+
+
+class Deregistered(msgspec.Struct, frozen=True):
+    """An upstream said that it is gone, or will be in a moment."""
+
+    name: str
+    """The upstream's name."""
+
+    lifetime: int
+    """Which process of that name, 0 where it does not say."""
+
+    reply: Future[tuple[int, int]]
+    """Takes the requests that run and wait."""
+
 
 def make_announcement_app(
     kernel: Kernel,
@@ -124,6 +141,7 @@
         slots=announcement.slots,
         ready=announcement.state == UpstreamState.ready,
         leaving=announcement.state == UpstreamState.leaving,
+        address=announcement.address,
     )
     announced = Announced(record, monotonic() + LIFETIME_SECONDS, reply)
     kernel.find('owner').task.post(announced)
--- /dev/null
+++ b/packages/node/src/kumquathold_node/assembly.py
@@ -0,0 +1,72 @@
+"""Puts the services of a node together."""
+
+from __future__ import annotations
+
+from kumquathold_core.identity import NodeRecord
+from kumquathold_node.balancer import Balancer
+from kumquathold_node.callers import Door
+from kumquathold_node.claims_service import ClaimsService
+from kumquathold_node.clock import start_incarnation
+from kumquathold_node.configuration import ConfigurationService
+from kumquathold_node.edges import Edges
+from kumquathold_node.exchanges import Exchanges
+from kumquathold_node.freshness_service import FreshnessService
+from kumquathold_node.ingress import Ingress
+from kumquathold_node.kernel import Kernel
+from kumquathold_node.leaving import Leaving
+from kumquathold_node.membership import Membership
+from kumquathold_node.metrics import Metrics
+from kumquathold_node.owner import Owner
+from kumquathold_node.rate_drawer import RateDrawer
+from kumquathold_node.rate_election import RateElection
+from kumquathold_node.rate_holder import RateHolder
+from kumquathold_node.settings import Settings
+from kumquathold_node.transport import Transport
+
+
+def assemble(settings: Settings, edges: Edges) -> Kernel:
+    """Put the services of a node together; starts nothing."""
+    kernel = Kernel()
+    metrics = Metrics(settings.statsd)
+    incarnation = start_incarnation()
+    kernel.register('metrics', metrics)
+    kernel.register('platform', edges.open_platform(settings, metrics))
+    kernel.register(
+        'transport',
+        Transport(
+            settings.peer,
+            incarnation,
+            settings.fleet_secret,
+            metrics,
+            settings.dial,
+        ),
+    )
+    FreshnessService(kernel, settings)
+    Membership(kernel, _own_record(settings, incarnation), settings)
+    ConfigurationService(kernel, edges.read_rules)
+    edges.follow_configuration(kernel, settings)
+    Exchanges(kernel)
+    ClaimsService(kernel, settings)
+    Owner(kernel, edges.upstream_dialect)
+    RateHolder(kernel, settings)
+    RateElection(kernel, settings)
+    RateDrawer(kernel, settings)
+    Balancer(kernel, settings)
+    Ingress(kernel, settings, edges.upstream_dialect)
+    Door(kernel)
+    Leaving(kernel, settings)
+    return kernel
+
+
+def _own_record(settings: Settings, incarnation: int) -> NodeRecord:
+    return NodeRecord(
+        address=settings.peer,
+        incarnation=incarnation,
+        version=1,
+        zone=settings.zone,
+        region=settings.region,
+        admin=settings.admin,
+        leaving=False,
+        upstreams=(),
+        rate_groups=(),
+    )
--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -9,27 +9,31 @@
 import random
 import threading
 from time import monotonic
-from typing import TYPE_CHECKING
 
 import msgspec
 
-from kumquathold_core import balancing
-from kumquathold_core.balancing import Candidate, Load
+from kumquathold_core import balancing, placement
+from kumquathold_core.balancing import Candidate
 from kumquathold_core.ejection import Evidence, Sample
+from kumquathold_core.placement import LoadReport, Toll
+from kumquathold_core.rules import Service
 from kumquathold_core.work import Refusal
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import FleetView, Membership
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.settings import Settings
 
-if TYPE_CHECKING:
-    from kumquathold_core.rules import Service
-
 LATENCY_GAIN = 0.2
 SHUNNED_SECONDS = 3.0
 AVOIDED_PATH_SECONDS = 2.0
-EXPLORE_SHARE = 0.05
-SUSPECT_EXPLORE_SHARE = 0.5
+SUSPECT_EXPLORE_FACTOR = 10
+MIN_SERVICE_SECONDS = 0.001
+USUAL_KILOBYTES = 2.0
+MAX_SENT_ON = 5
+GONE_REASONS = frozenset(
+    (Refusal.upstream_leaving, Refusal.upstream_replaced),
+)
+"""Refusals by an upstream that will take no request again."""
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -41,10 +45,42 @@
     is_trial: bool
     """Whether it is ejected, and the request tries it."""
 
+    is_firm: bool
+    """Whether to wait there even where it is busy or suspect."""
+
     slow_limit: float
     """Seconds above which its answer counts as bad."""
 
 
+class Told(msgspec.Struct, frozen=True):
+    """What an owner said of its upstream beside its answer."""
+
+    backlog: int
+    """Requests that run or wait there."""
+
+    suspect: bool
+    """Whether the owner expects it to fail its next request."""
+
+
+class Wish(msgspec.Struct):
+    """What one request needs of an upstream."""
+
+    service: Service
+    """The service that it goes to."""
+
+    route: str
+    """Name of its route."""
+
+    idempotent: bool
+    """Whether a second run does no harm."""
+
+    tried: set[str] = msgspec.field(default_factory=set)
+    """Upstreams that it was sent to and may have reached."""
+
+    refused_by: list[str] = msgspec.field(default_factory=list)
+    """Upstreams whose owners sent it on, unrun."""
+
+
 class ServiceView(msgspec.Struct, frozen=True):
     """The upstreams of one service that may get work."""
 
@@ -66,7 +102,9 @@
         self.region = settings.region
         self.lock = threading.Lock()
         self.rng = random.Random(settings.peer)
-        self.loads: dict[str, Load] = {}
+        self.loads: dict[str, LoadReport] = {}
+        self.sizes: dict[str, float] = {}
+        self.explore_share = settings.explore_share
         self.evidence: dict[str, Evidence] = {}
         self.out: dict[str, set[str]] = {}
         self.floors: dict[str, float] = {}
@@ -76,16 +114,10 @@
         self.seen_view = -1
         kernel.register('balancer', self)
 
-    def choose(
-        self,
-        service: Service,
-        tried: set[str],
-        *,
-        idempotent: bool,
-        route: str,
-    ) -> Choice | None:
+    def choose(self, wish: Wish) -> Choice | None:
         """Pick an upstream that the request was not sent to before."""
         now = monotonic()
+        service = wish.service
         with self.lock:
             self._follow(self.membership.view)
             view = self.services.get(service.name)
@@ -95,19 +127,19 @@
             self.floors[service.name] = service.floor
             out = evidence.settle(view.slots, service.floor, now)
             self._report_changes(service.name, out)
-            trial = evidence.take_trial(out, now) if idempotent else None
-            usable = self._usable(view, out - {trial or ''}, tried, now)
-            chosen = self._choose_among(usable, service, trial)
+            trial = evidence.take_trial(out, now) if wish.idempotent else None
+            usable = self._usable(view, out - {trial or ''}, wish.tried, now)
+            chosen = self._choose_among(usable, wish, trial, now)
             if chosen is None:
                 return None
-            if chosen.upstream != trial:
-                chosen = self._explore(evidence, chosen, usable, service)
-            load = self.loads.setdefault(chosen.upstream, Load())
-            load.in_flight += 1
+            if chosen.upstream != trial and not wish.refused_by:
+                chosen = self._explore(evidence, chosen, usable, wish)
+            self._load(chosen.upstream).in_flight += 1
             return Choice(
                 candidate=chosen,
                 is_trial=chosen.upstream in out,
-                slow_limit=evidence.slow_limit(route, chosen.upstream),
+                is_firm=_is_firm(chosen, usable, wish),
+                slow_limit=evidence.slow_limit(wish.route, chosen.upstream),
             )
 
     def finish(self, choice: Choice) -> None:
@@ -124,7 +156,7 @@
         choice: Choice,
         *,
         seconds: float,
-        in_use: int,
+        told: Told,
         failed: bool,
         counted: bool,
     ) -> None:
@@ -132,9 +164,13 @@
         now = monotonic()
         upstream = choice.candidate.upstream
         with self.lock:
-            load = self.loads.setdefault(upstream, Load())
-            load.latency += LATENCY_GAIN * (seconds - load.latency)
-            load.in_use = in_use
+            load = self._load(upstream)
+            gain = LATENCY_GAIN * (seconds - load.service_seconds)
+            load.service_seconds = max(
+                load.service_seconds + gain,
+                MIN_SERVICE_SECONDS,
+            )
+            load.tell(told.backlog, now, suspect=told.suspect)
             evidence = self._evidence(service.name)
             if counted:
                 evidence.note_latency(route, upstream, seconds)
@@ -178,12 +214,25 @@
                 )
         self.metrics.count('ingress.bad_outcomes')
 
-    def note_refusal(self, choice: Choice, reason: Refusal) -> None:
+    def note_size(self, route: str, kilobytes: float) -> None:
+        """Take in how much a request and its answer weighed."""
+        with self.lock:
+            known = self.sizes.get(route, kilobytes)
+            self.sizes[route] = known + LATENCY_GAIN * (kilobytes - known)
+
+    def note_refusal(
+        self,
+        choice: Choice,
+        reason: Refusal,
+        told: Told,
+    ) -> None:
         """Keep away from what is leaving until the fleet's view says so."""
         now = monotonic()
         candidate = choice.candidate
         with self.lock:
-            if reason == Refusal.upstream_leaving:
+            load = self._load(candidate.upstream)
+            load.tell(told.backlog, now, suspect=told.suspect)
+            if reason in GONE_REASONS:
                 self.shunned[candidate.upstream] = now + SHUNNED_SECONDS
             elif reason == Refusal.node_leaving:
                 self.avoided[candidate.owner] = now + SHUNNED_SECONDS
@@ -239,6 +288,9 @@
             or candidate.owner in self.membership.view.suspects
         )
 
+    def _load(self, upstream: str) -> LoadReport:
+        return self.loads.setdefault(upstream, LoadReport())
+
     def _evidence(self, service: str) -> Evidence:
         return self.evidence.setdefault(service, Evidence())
 
@@ -285,19 +337,27 @@
     def _choose_among(
         self,
         usable: list[Candidate],
-        service: Service,
+        wish: Wish,
         trial: str | None,
+        now: float,
     ) -> Candidate | None:
         for candidate in usable:
             if candidate.upstream == trial:
                 return candidate
-        return balancing.choose_upstream(
+        return placement.cheapest(
             usable,
             self.loads,
+            self._toll(wish.route),
+            wish.service.zones,
+            now,
+            self.rng,
+        )
+
+    def _toll(self, route: str) -> Toll:
+        return Toll(
             zone=self.zone,
             region=self.region,
-            reach=service.zones,
-            rng=self.rng,
+            kilobytes=self.sizes.get(route, USUAL_KILOBYTES),
         )
 
     def _explore(
@@ -305,7 +365,7 @@
         evidence: Evidence,
         chosen: Candidate,
         usable: list[Candidate],
-        service: Service,
+        wish: Wish,
     ) -> Candidate:
         """Now and then take another upstream, so that there is a comparison.
 
@@ -313,20 +373,20 @@
         could not tell a gray one from a slow service otherwise.
         """
         is_suspected = evidence.is_suspected(chosen.upstream)
-        share = SUSPECT_EXPLORE_SHARE if is_suspected else EXPLORE_SHARE
-        if self.rng.random() >= share:
+        factor = SUSPECT_EXPLORE_FACTOR if is_suspected else 1
+        if self.rng.random() >= self.explore_share * factor:
             return chosen
         others = [one for one in usable if one.upstream != chosen.upstream]
         near = [one for one in others if one.region == self.region]
         if not near and not is_suspected:
             return chosen
-        other = balancing.choose_upstream(
+        other = placement.cheapest(
             near or others,
             self.loads,
-            zone=self.zone,
-            region=self.region,
-            reach=service.zones,
-            rng=self.rng,
+            self._toll(wish.route),
+            wish.service.zones,
+            monotonic(),
+            self.rng,
         )
         return other or chosen
 
@@ -361,3 +421,14 @@
         )
         for name, candidates in found.items()
     }
+
+
+def _is_firm(
+    chosen: Candidate,
+    usable: list[Candidate],
+    wish: Wish,
+) -> bool:
+    """Whether nothing better is to be found by being sent on once more."""
+    is_second_time = chosen.upstream in wish.refused_by
+    is_alone = len(usable) == 1
+    return is_second_time or is_alone or len(wish.refused_by) >= MAX_SENT_ON
--- a/packages/node/src/kumquathold_node/caller_requests.py
+++ b/packages/node/src/kumquathold_node/caller_requests.py
@@ -6,6 +6,7 @@
 import uuid
 from collections.abc import Callable
 from http import HTTPStatus
+from time import monotonic
 from typing import Any
 from urllib.parse import unquote, urlsplit
 
@@ -13,47 +14,22 @@
 
 from kumquathold_core.rules import KEY_PREFIX, Route, key_id_of
 from kumquathold_core.work import Headers, Outcome, Refusal
+from kumquathold_node.dialect import CallerDialect
 from kumquathold_node.upstream_calls import (
     OUTCOME_HEADER,
     end_to_end,
 )
 
-KEY_HEADER = 'x-api-key'
 AUTHORIZATION = 'authorization'
 BEARER = 'Bearer '
-REQUEST_ID_HEADER = 'x-request-id'
 IDEMPOTENCY_HEADER = 'idempotency-key'
 REPLAYED_HEADER = 'Kumquathold-Replayed'
 MAX_REQUEST_ID = 128
 MAX_HEAD_BYTES = 32_768
 MIN_DEADLINE_SECONDS = 0.001
+MIN_RETRY_SECONDS = 0.05
 OWN_HEADER_PREFIX = 'kumquathold-'
 
-STATUSES = {
-    Refusal.no_route: HTTPStatus.NOT_FOUND,
-    Refusal.method_not_allowed: HTTPStatus.METHOD_NOT_ALLOWED,
-    Refusal.key_missing: HTTPStatus.UNAUTHORIZED,
-    Refusal.key_unknown: HTTPStatus.UNAUTHORIZED,
-    Refusal.key_exposed: HTTPStatus.BAD_REQUEST,
-    Refusal.body_too_large: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-    Refusal.malformed: HTTPStatus.BAD_REQUEST,
-    Refusal.head_too_large: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-    Refusal.idempotency_key_missing: HTTPStatus.BAD_REQUEST,
-    Refusal.idempotency_key_reused: HTTPStatus.UNPROCESSABLE_ENTITY,
-    Refusal.in_progress: HTTPStatus.CONFLICT,
-    Refusal.outcome_unknown: HTTPStatus.CONFLICT,
-    Refusal.settled: HTTPStatus.CONFLICT,
-    Refusal.answer_not_kept: HTTPStatus.CONFLICT,
-    Refusal.rate_exceeded: HTTPStatus.TOO_MANY_REQUESTS,
-    Refusal.upstream_failed: HTTPStatus.BAD_GATEWAY,
-    Refusal.owner_unreachable: HTTPStatus.BAD_GATEWAY,
-    Refusal.owner_restarted: HTTPStatus.BAD_GATEWAY,
-    Refusal.deadline_passed: HTTPStatus.GATEWAY_TIMEOUT,
-    Refusal.crashes_upstreams: HTTPStatus.UNPROCESSABLE_ENTITY,
-    Refusal.internal_error: HTTPStatus.INTERNAL_SERVER_ERROR,
-}
-"""All other refusals are `503 Service Unavailable`."""
-
 DETAILS = {
     Refusal.no_route: 'No rule routes this path.',
     Refusal.method_not_allowed: 'The path does not take this method.',
@@ -105,7 +81,10 @@
     """Path and query, as sent."""
 
     path: str
-    """Decoded path, for routing."""
+    """Path for routing, percent-decoded where the dialect says so."""
+
+    host: str
+    """Host that the caller named, in lower case."""
 
     headers: Headers
     """End-to-end headers, credentials removed."""
@@ -116,6 +95,12 @@
     idempotency_key: str
     """From the caller, or empty."""
 
+    patience: float | None
+    """Seconds that the caller waits, where it says so."""
+
+    arrived_at: float
+    """Own monotonic clock, in seconds."""
+
     body: bytes
     """The whole body."""
 
@@ -154,7 +139,10 @@
         self.headers = headers
 
 
-def read_request(environ: dict[str, Any]) -> CallerRequest:
+def read_request(
+    environ: dict[str, Any],
+    dialect: CallerDialect,
+) -> CallerRequest:
     """Read a WSGI environment; raises `Refused`."""
     parts = urlsplit(environ['REQUEST_URI'])
     query = f'?{parts.query}' if parts.query else ''
@@ -165,16 +153,20 @@
     if _size_of(target, headers) > MAX_HEAD_BYTES:
         raise Refused(Refusal.head_too_large)
     by_name = {name.lower(): text for name, text in headers}
-    request_id = by_name.get(REQUEST_ID_HEADER, '')[:MAX_REQUEST_ID]
-    key = _find_key(by_name)
+    request_id = by_name.get(dialect.request_id, '')[:MAX_REQUEST_ID]
+    key = _find_key(by_name, dialect)
+    path = parts.path or '/'
     return CallerRequest(
         id=request_id or uuid.uuid4().hex,
         method=environ['REQUEST_METHOD'],
         target=target,
-        path=unquote(parts.path or '/'),
-        headers=_clean_headers(headers),
+        path=unquote(path) if dialect.decodes_path else path,
+        host=by_name.get('host', '').lower(),
+        headers=_clean_headers(headers, dialect),
         key=key,
         idempotency_key=by_name.get(IDEMPOTENCY_HEADER, '').strip(),
+        patience=_read_patience(by_name, dialect),
+        arrived_at=monotonic(),
         body=environ['wsgi.input'].read(),
         has_gone=environ.get('waitress.client_disconnected', _stays),
     )
@@ -196,9 +188,13 @@
     return b'' if request.method == 'HEAD' else answer.body
 
 
-def make_problem(refused: Refused, request_id: str) -> CallerAnswer:
+def make_problem(
+    refused: Refused,
+    request_id: str,
+    dialect: CallerDialect,
+) -> CallerAnswer:
     """The RFC 9457 answer for a refusal."""
-    status = STATUSES.get(refused.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+    status = dialect.status_of(refused.reason, refused.outcome)
     problem = {
         'type': f'urn:kumquathold:reason:{refused.reason.value}',
         'title': status.phrase,
@@ -219,8 +215,8 @@
         HTTPStatus.CONFLICT,
     }
     if asks_for_patience:
-        seconds = max(1, round(refused.retry_after))
-        headers.append(('Retry-After', str(seconds)))
+        retry_after = _format_seconds(refused.retry_after, dialect)
+        headers.append(('Retry-After', retry_after))
     if status == HTTPStatus.UNAUTHORIZED:
         headers.append(('WWW-Authenticate', 'Bearer'))
     return CallerAnswer(
@@ -232,14 +228,25 @@
 
 def deadline_of(request: CallerRequest, route: Route) -> float:
     """Seconds that the caller waits: its own wish, at most the route's."""
-    for name, text in request.headers:
-        if name.lower() == 'request-timeout':
-            try:
-                wish = float(text)
-            except ValueError:
-                return route.deadline
-            return min(max(wish, MIN_DEADLINE_SECONDS), route.deadline)
-    return route.deadline
+    if request.patience is None:
+        return route.deadline
+    return min(max(request.patience, MIN_DEADLINE_SECONDS), route.deadline)
+
+
+def _read_patience(
+    by_name: dict[str, str],
+    dialect: CallerDialect,
+) -> float | None:
+    try:
+        return float(by_name[dialect.deadline]) * dialect.deadline_unit
+    except (KeyError, ValueError):
+        return None
+
+
+def _format_seconds(seconds: float, dialect: CallerDialect) -> str:
+    if dialect.fractional_retry:
+        return f'{max(seconds, MIN_RETRY_SECONDS):.2f}'
+    return str(max(1, round(seconds)))
 
 
 def _read_headers(environ: dict[str, Any]) -> list[tuple[str, str]]:
@@ -257,22 +264,26 @@
     return len(target) + sum(len(name) + len(text) for name, text in headers)
 
 
-def _find_key(by_name: dict[str, str]) -> str:
+def _find_key(by_name: dict[str, str], dialect: CallerDialect) -> str:
     authorization = by_name.get(AUTHORIZATION, '')
     bearer = ''
     if authorization.startswith(BEARER):
         bearer = authorization.removeprefix(BEARER).strip()
-    named = by_name.get(KEY_HEADER, '').strip()
+    named = by_name.get(dialect.key, '').strip()
     if bearer and named and bearer != named:
         raise Refused(Refusal.malformed)
     return named or bearer
 
 
-def _clean_headers(headers: list[tuple[str, str]]) -> Headers:
+def _clean_headers(
+    headers: list[tuple[str, str]],
+    dialect: CallerDialect,
+) -> Headers:
     return tuple(
         (name, text)
         for name, text in end_to_end(headers)
-        if name.lower() != KEY_HEADER
+        if name.lower() != dialect.key
+        and name.lower() not in dialect.reserved
         and not name.lower().startswith(OWN_HEADER_PREFIX)
         and not _carries_key(name, text)
     )
--- a/packages/node/src/kumquathold_node/callers.py
+++ b/packages/node/src/kumquathold_node/callers.py
@@ -22,6 +22,7 @@
     CallerRequest,
     Refused,
 )
+from kumquathold_node.dialect import CallerDialect
 from kumquathold_node.ingress import Ingress
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.metrics import Metrics
@@ -63,7 +64,7 @@
                 self.in_hand -= 1
 
 
-def make_caller_app(kernel: Kernel) -> WsgiApp:
+def make_caller_app(kernel: Kernel, dialect: CallerDialect) -> WsgiApp:
     """The WSGI application that callers talk to."""
     ingress: Ingress = kernel.find('ingress')
     metrics: Metrics = kernel.find('metrics')
@@ -77,16 +78,20 @@
             started_at = monotonic()
             request_id = ''
             try:
-                request = caller_requests.read_request(environ)
+                request = caller_requests.read_request(environ, dialect)
                 request_id = request.id
-                answer = _answer(ingress, metrics, request)
+                answer = _answer(ingress, metrics, request, dialect)
                 body = caller_requests.strip_body(request, answer)
             except Refused as refused:
                 metrics.count(f'ingress.refused.{refused.reason.value}')
-                answer = caller_requests.make_problem(refused, request_id)
+                answer = caller_requests.make_problem(
+                    refused,
+                    request_id,
+                    dialect,
+                )
                 body = answer.body
             metrics.time('ingress.request', monotonic() - started_at)
-            headers = _response_headers(answer, request_id)
+            headers = _response_headers(answer, request_id, dialect)
             start_response(_status_line(answer.status), headers)
             return [body]
 
@@ -97,6 +102,7 @@
     ingress: Ingress,
     metrics: Metrics,
     request: CallerRequest,
+    dialect: CallerDialect,
 ) -> CallerAnswer:
     try:
         answer = ingress.handle(request)
@@ -106,14 +112,16 @@
             request=request.id,
             reason=refused.reason.value,
             outcome=refused.outcome.value,
+            seconds=round(monotonic() - request.arrived_at, 3),
+            retry_after=refused.retry_after,
         )
         metrics.count(f'ingress.refused.{refused.reason.value}')
-        return caller_requests.make_problem(refused, request.id)
+        return caller_requests.make_problem(refused, request.id, dialect)
     except Exception:
         logger.exception('request failed', request=request.id)
         unknown = Refused(Refusal.internal_error, Outcome.unknown)
         metrics.count(f'ingress.refused.{unknown.reason.value}')
-        return caller_requests.make_problem(unknown, request.id)
+        return caller_requests.make_problem(unknown, request.id, dialect)
     metrics.count('ingress.answered')
     return answer
 
@@ -121,13 +129,15 @@
 def _response_headers(
     answer: CallerAnswer,
     request_id: str,
+    dialect: CallerDialect,
 ) -> list[tuple[str, str]]:
     headers = list(answer.headers)
-    states_length = any(name.lower() == 'content-length' for name, _ in headers)
+    names = {name.lower() for name, _ in headers}
+    states_length = 'content-length' in names
     if not states_length and answer.status not in BODILESS:
         headers.append(('Content-Length', str(len(answer.body))))
-    if request_id:
-        headers.append(('X-Request-Id', request_id))
+    if request_id and dialect.request_id not in names:
+        headers.append((dialect.request_id.title(), request_id))
     return headers
 
 
@@ -149,7 +159,7 @@
             refused = Refused(Refusal.body_too_large)
         elif error.code >= HTTPStatus.INTERNAL_SERVER_ERROR:
             refused = Refused(Refusal.internal_error, Outcome.unknown)
-        answer = caller_requests.make_problem(refused, '')
+        answer = caller_requests.make_problem(refused, '', CallerDialect())
         self.status = _status_line(answer.status)
         self.response_headers.extend(answer.headers)
         self.set_close_on_finish()
--- a/packages/node/src/kumquathold_node/claims_service.py
+++ b/packages/node/src/kumquathold_node/claims_service.py
@@ -21,14 +21,14 @@
 from kumquathold_node.jobs import Job
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.metrics import Metrics
-from kumquathold_node.platform import (
+from kumquathold_node.settings import Settings
+from kumquathold_node.store import (
     Platform,
     PlatformError,
     Stored,
     Swap,
     Write,
 )
-from kumquathold_node.settings import Settings
 from kumquathold_node.upstream_calls import CallFailed, UpstreamAnswer
 
 HOUR_SECONDS = 3600
--- a/packages/node/src/kumquathold_node/configuration.py
+++ b/packages/node/src/kumquathold_node/configuration.py
@@ -28,13 +28,15 @@
     PingWanted,
 )
 from kumquathold_node.metrics import Metrics
-from kumquathold_node.platform import Platform, PlatformError, Stored
 from kumquathold_node.settings import Settings
+from kumquathold_node.store import Platform, PlatformError, Stored
 from kumquathold_node.transport import Transport
 
 if TYPE_CHECKING:
     from kumquathold_core.wire import Envelope
 
+RulesReader = Callable[[str], Rules]
+
 POLL_SECONDS = 1.0
 CHECK_SECONDS = 0.25
 ASK_READER_SECONDS = 1.5
@@ -66,10 +68,11 @@
         version: int,
         packed: bytes,
         digest: str,
+        read_rules: RulesReader = rules_file.parse_rules,
     ) -> Configuration:
         """Read a packed text; raises `CorruptConfiguration`."""
         text = manifests.unpack_text(packed, digest)
-        rules = rules_file.parse_rules(text)
+        rules = read_rules(text)
         return cls(
             version=version,
             rules=rules,
@@ -122,8 +125,13 @@
 class ConfigurationService:
     """Owns the configuration in force; others read `current`."""
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(
+        self,
+        kernel: Kernel,
+        read_rules: RulesReader = rules_file.parse_rules,
+    ) -> None:
         """Find the services that are needed, and register."""
+        self.read_rules = read_rules
         self.transport: Transport = kernel.find('transport')
         self.freshness: FreshnessService = kernel.find('freshness')
         self.membership: Membership = kernel.find('membership')
@@ -197,7 +205,12 @@
             return
         self.partial = None
         self._adopt(
-            Configuration.from_packed(partial.version, packed, digest),
+            Configuration.from_packed(
+                partial.version,
+                packed,
+                digest,
+                self.read_rules,
+            ),
         )
 
     def on_configuration_found(self, found: ConfigurationFound) -> None:
@@ -210,6 +223,16 @@
         for peer in self.membership.table.peers():
             self.transport.try_send(peer, news)
 
+    def spread(self, version: int) -> None:
+        """Tell a few peers that this node has a version in force.
+
+        Each that did not know it tells others, so that nodes whose own watch
+        is silent or cut hear of it within a few hops.
+        """
+        news = sharing.NewsSpread(version=version)
+        for peer in self.membership.news_peers():
+            self.transport.try_send(peer, news)
+
     def _adopt(self, configuration: Configuration) -> None:
         if configuration.version <= self.current.version:
             self.metrics.count('configuration.older_ignored')
@@ -219,6 +242,7 @@
         self.fetched_at = -FETCH_AGAIN_SECONDS
         for listener in self.listeners:
             listener(configuration)
+        self.spread(configuration.version)
         logger.info('configuration in force', version=configuration.version)
 
     def _hear_version(self, peer: str, version: int) -> None:
--- a/packages/node/src/kumquathold_node/platform.py
+++ b/packages/node/src/kumquathold_node/etcd_platform.py
@@ -1,113 +1,41 @@
 """The platform's key-value service, by etcd's v3 JSON gateway.
 
-Every call takes one HTTP request on a connection of its own thread. A call
-without an answer may have taken effect: `StoreUnavailable` says nothing about
-that, and callers that write must read before they say either.
+Every call takes one HTTP request on a connection of its own thread.
 """
 
 from __future__ import annotations
 
-import http.client
-import threading
+import http
 from collections.abc import Sequence
 from typing import TypeVar
 
 import msgspec
 
 from kumquathold_core import etcd
+from kumquathold_node.http_calls import HttpCalls
 from kumquathold_node.metrics import Metrics
+from kumquathold_node.store import (
+    Lease,
+    Reading,
+    Stored,
+    StoreRefused,
+    StoreUnavailable,
+    Swap,
+    Write,
+)
 
-CALL_TIMEOUT_SECONDS = 1.0
 MAX_DETAIL = 200
 
 Answer = TypeVar('Answer')
 
 
-class PlatformError(Exception):
-    """A call to the platform that failed."""
-
-
-class StoreUnavailable(PlatformError):
-    """No answer came; a write may have taken effect all the same."""
-
-
-class StoreRefused(PlatformError):
-    """The platform answered, with an error."""
-
-
-class Stored(msgspec.Struct, frozen=True):
-    """A value and its revision."""
-
-    key: str
-    """The key."""
-
-    value: bytes
-    """What is stored."""
-
-    mod_revision: int
-    """Revision of the last change, for compare-and-swap."""
-
-    create_revision: int
-    """Revision of the creation."""
-
-
-class Reading(msgspec.Struct, frozen=True):
-    """The answer to a read."""
-
-    revision: int
-    """The store's revision when it answered."""
-
-    found: tuple[Stored, ...]
-    """In the order of their keys."""
-
-
-class Write(msgspec.Struct, frozen=True):
-    """A conditional write of one key, with others in one transaction."""
-
-    key: str
-    """The key."""
-
-    value: bytes | None
-    """What to store; nothing deletes the key."""
-
-    expected_revision: int | None
-    """Revision that must be in place; 0 for no key, nothing for any."""
-
-    lease: int = 0
-    """The lease that the key goes with, 0 for none."""
-
-
-class Swap(msgspec.Struct, frozen=True):
-    """The answer to a conditional write."""
-
-    succeeded: bool
-    """Whether all conditions held and everything was written."""
-
-    revision: int
-    """The store's revision when it answered."""
-
-    found: tuple[Stored, ...]
-    """Where the conditions failed, the keys as they are."""
-
-
-class Lease(msgspec.Struct, frozen=True):
-    """A lease of the platform."""
-
-    id: int
-    """The platform's number for it."""
-
-    seconds: float
-    """How long it lasts from the last keep-alive."""
-
-
-class Platform:
+class EtcdPlatform:
     """The adapter; its methods may be called from any thread."""
 
     def __init__(self, address: str, metrics: Metrics) -> None:
         """Connect to nothing yet."""
-        self.address = address
+        self.calls = HttpCalls(address)
         self.metrics = metrics
-        self.local = threading.local()
 
     def read(self, key: str) -> Reading:
         """Read one key."""
@@ -194,40 +122,22 @@
         kind: type[Answer],
     ) -> Answer:
         self.metrics.count(f'platform.calls{path.replace("/", ".")}')
+        body = msgspec.json.encode(request)
         try:
-            status, body = self._exchange(path, msgspec.json.encode(request))
-        except (OSError, http.client.HTTPException) as error:
-            self._forget_connection()
+            reply = self.calls.call('POST', path, body)
+        except StoreUnavailable:
             self.metrics.count('platform.unavailable')
-            raise StoreUnavailable(f'{path}: {error!r}') from error
-        if status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
-            raise StoreUnavailable(f'{path}: status {status}')
-        if status != http.HTTPStatus.OK:
-            raise StoreRefused(f'{path}: status {status} {body[:MAX_DETAIL]!r}')
+            raise
+        if reply.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            raise StoreUnavailable(f'{path}: status {reply.status}')
+        if reply.status != http.HTTPStatus.OK:
+            detail = reply.body[:MAX_DETAIL]
+            raise StoreRefused(f'{path}: status {reply.status} {detail!r}')
         try:
-            return msgspec.json.decode(body, type=kind)
+            return msgspec.json.decode(reply.body, type=kind)
         except msgspec.MsgspecError as error:
             raise StoreRefused(f'{path}: {error}') from error
 
-    def _exchange(self, path: str, body: bytes) -> tuple[int, bytes]:
-        connection = getattr(self.local, 'connection', None)
-        if connection is None:
-            connection = http.client.HTTPConnection(
-                self.address,
-                timeout=CALL_TIMEOUT_SECONDS,
-            )
-            self.local.connection = connection
-        headers = {'Content-Type': 'application/json'}
-        connection.request('POST', path, body, headers)
-        response = connection.getresponse()
-        return response.status, response.read()
-
-    def _forget_connection(self) -> None:
-        connection = getattr(self.local, 'connection', None)
-        self.local.connection = None
-        if connection is not None:
-            connection.close()
-
 
 def _stored(pair: etcd.KeyValue) -> Stored:
     return Stored(
--- /dev/null
+++ b/packages/node/src/kumquathold_node/health.py
@@ -0,0 +1,35 @@
+"""Tells load balancers and supervisors whether the node takes requests."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from kumquathold_node.callers import Door, StartResponse, WsgiApp
+from kumquathold_node.configuration import ConfigurationService
+from kumquathold_node.dialect import CallerDialect
+from kumquathold_node.kernel import Kernel
+
+
+def is_ready(kernel: Kernel) -> bool:
+    """Whether a configuration is in force and the node does not leave."""
+    door: Door = kernel.find('door')
+    config: ConfigurationService = kernel.find('configuration')
+    return not door.is_leaving and config.current.version > 0
+
+
+def make_health_app(kernel: Kernel, dialect: CallerDialect) -> WsgiApp:
+    """The WSGI application of the health address."""
+
+    def app(
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        status = '404 Not Found'
+        if environ['PATH_INFO'] == dialect.health_path:
+            ready = is_ready(kernel)
+            status = '200 OK' if ready else '503 Service Unavailable'
+        start_response(status, [('Content-Length', '0')])
+        return [b'']
+
+    return app
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import threading
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
@@ -18,15 +19,16 @@
     Workspace,
     authenticate_key,
 )
-from kumquathold_core.work import Outcome, Refusal
+from kumquathold_core.work import Headers, Outcome, Refusal
 from kumquathold_node import caller_requests
-from kumquathold_node.balancer import Balancer
+from kumquathold_node.balancer import Balancer, Wish
 from kumquathold_node.caller_requests import (
     CallerAnswer,
     CallerRequest,
     Refused,
 )
 from kumquathold_node.configuration import Configuration, ConfigurationService
+from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.metrics import Metrics
@@ -36,19 +38,27 @@
     TokenWanted,
 )
 from kumquathold_node.sending import Admitted, Sending, SendingContext
+from kumquathold_node.settings import Settings
 
+SENT_ON = frozenset((Refusal.upstream_busy, Refusal.upstream_suspect))
+"""Refusals that say: not run, another upstream may be better."""
+
+CALL_RANK = -1
 RETRIED_STATUSES = frozenset((500, 502, 503, 504))
 
 
 class Progress(msgspec.Struct):
     """The sendings of one request so far."""
 
-    tried: set[str]
-    """Upstreams that it was sent to."""
+    wish: Wish
+    """What it needs, and where it was."""
 
     outcomes: list[Outcome]
     """How the sendings ended."""
 
+    arrivals: int = 0
+    """Sendings that an upstream may have seen."""
+
     crashed: int = 0
     """Sendings that took an upstream down."""
 
@@ -59,15 +69,24 @@
 class Ingress:
     """Lets requests in and sees them through, on the caller's thread."""
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(
+        self,
+        kernel: Kernel,
+        settings: Settings,
+        dialect: UpstreamDialect,
+    ) -> None:
         """Find the services that are needed, and register."""
+        self.rng = random.Random(settings.peer)
+        self.own_headers: Headers = ()
+        if dialect.caller_service:
+            self.own_headers = ((dialect.caller_service, settings.service),)
         self.configuration: ConfigurationService = kernel.find('configuration')
         self.freshness: FreshnessService = kernel.find('freshness')
         self.context = SendingContext(kernel)
         self.balancer: Balancer = kernel.find('balancer')
         self.rates: RateDrawer = kernel.find('rate-drawer')
         self.metrics: Metrics = kernel.find('metrics')
-        self.budget = RetryBudget()
+        self.budget = RetryBudget(settings.retry_ratio, settings.retry_extra)
         self.budget_lock = threading.Lock()
         kernel.register('ingress', self)
 
@@ -80,7 +99,6 @@
         return self._see_through(admitted)
 
     def _admit(self, request: CallerRequest) -> Admitted:
-        arrived_at = monotonic()
         configuration = self.configuration.current
         route = self._find_route(configuration, request)
         if len(request.body) > route.body_limit:
@@ -94,15 +112,18 @@
             with self.metrics.timed('ingress.token'):
                 self._take_token(workspace)
         patience = caller_requests.deadline_of(request, route)
+        service = self._draw_service(route)
         return Admitted(
             request=request,
             configuration=configuration,
             route=route,
-            service=configuration.rules.services[route.service],
+            service=configuration.rules.services[service],
+            headers=(*request.headers, *self.own_headers),
+            rank=_rank_of(configuration, route, workspace),
             workspace=workspace,
             key_id=key_id,
             claim=claim,
-            deadline=arrived_at + patience,
+            deadline=request.arrived_at + patience,
             body_digest=wire.digest_body(request.body),
         )
 
@@ -117,6 +138,7 @@
             configuration.routes,
             request.method,
             request.path,
+            request.host,
         )
         if match.route is not None:
             return match.route
@@ -149,6 +171,12 @@
         if verdict != Verdict.fresh:
             self.metrics.count(f'ingress.served_{verdict.name}')
 
+    def _draw_service(self, route: Route) -> str:
+        if not route.split:
+            return route.service
+        weights = [part.weight for part in route.split]
+        return self.rng.choices(route.services, weights)[0]
+
     def _take_token(self, workspace: Workspace) -> None:
         if self.rates.take_at_once(workspace.name):
             return
@@ -162,15 +190,21 @@
             raise Refused(refusal, retry_after=1)
 
     def _see_through(self, admitted: Admitted) -> CallerAnswer:
-        progress = Progress(tried=set(), outcomes=[])
+        wish = Wish(
+            service=admitted.service,
+            route=admitted.route.name,
+            idempotent=admitted.route.idempotent,
+        )
+        progress = Progress(wish=wish, outcomes=[])
         while True:
-            ended = self._send_once(admitted, progress)
+            ended = self._send_on(admitted, progress)
             if isinstance(ended, CallerAnswer):
                 progress.answer = ended
                 ended = Failure(Outcome.ran, Refusal.upstream_error)
                 if not self._is_error(admitted, progress.answer):
                     return progress.answer
             progress.outcomes.append(ended.outcome)
+            progress.arrivals += int(retries.has_arrived(ended))
             progress.crashed += 1 if ended.crashed else 0
             if not self._may_retry(admitted, progress, ended):
                 return self._give_up(progress, ended)
@@ -194,38 +228,78 @@
         progress: Progress,
         ended: Failure,
     ) -> bool:
+        most = min(admitted.route.attempts, retries.MAX_ATTEMPTS)
         is_allowed = retries.may_retry(
             ended,
+            most=most,
             idempotent=admitted.route.idempotent,
             claimed=bool(admitted.claim),
-            attempts=len(progress.outcomes),
+            attempts=progress.arrivals,
             crashed=progress.crashed,
         )
         is_in_time = monotonic() < admitted.deadline
-        if not is_allowed or not is_in_time or admitted.request.has_gone():
+        is_bounded = len(progress.outcomes) < retries.MAX_SENDINGS
+        if not is_allowed or not is_in_time or not is_bounded:
+            return False
+        if ended.reason == Refusal.no_upstream or admitted.request.has_gone():
             return False
+        if not retries.has_arrived(ended):
+            return True
         with self.budget_lock:
             is_affordable = self.budget.spend()
         if not is_affordable:
             self.metrics.count('ingress.retry_budget_spent')
         return is_affordable
 
+    def _send_on(
+        self,
+        admitted: Admitted,
+        progress: Progress,
+    ) -> CallerAnswer | Failure:
+        """Send the request until an owner does not send it on, unrun."""
+        while True:
+            ended = self._send_once(admitted, progress)
+            if isinstance(ended, CallerAnswer):
+                return ended
+            is_late = monotonic() >= admitted.deadline
+            if is_late or ended.reason not in SENT_ON:
+                return ended
+            self.metrics.count(f'ingress.sent_on.{ended.reason.value}')
+
     def _send_once(
         self,
         admitted: Admitted,
         progress: Progress,
     ) -> CallerAnswer | Failure:
-        choice = self.balancer.choose(
-            admitted.service,
-            progress.tried,
-            idempotent=admitted.route.idempotent,
-            route=admitted.route.name,
-        )
+        wish = progress.wish
+        choice = self.balancer.choose(wish)
         if choice is None:
             return Failure(Outcome.not_run, Refusal.no_upstream)
-        progress.tried.add(choice.candidate.upstream)
+        name = choice.candidate.upstream
         try:
             sending = Sending(self.context, admitted, choice, progress.crashed)
-            return sending.run()
+            ended = sending.run()
         finally:
             self.balancer.finish(choice)
+        if isinstance(ended, Failure) and ended.reason in SENT_ON:
+            wish.refused_by.append(name)
+        else:
+            wish.tried.add(name)
+        return ended
+
+
+def _rank_of(
+    configuration: Configuration,
+    route: Route,
+    workspace: Workspace | None,
+) -> int:
+    """Calls of running requests first, then by priority.
+
+    A refused call wastes the run that made it. Calls carry no key, so where
+    there are workspaces, requests on public routes count as calls.
+    """
+    if workspace is None and configuration.rules.workspaces:
+        return CALL_RANK
+    if workspace is not None and workspace.priority is not None:
+        return workspace.priority
+    return route.priority
--- a/packages/node/src/kumquathold_node/jobs.py
+++ b/packages/node/src/kumquathold_node/jobs.py
@@ -5,10 +5,15 @@
 import msgspec
 
 from kumquathold_core import crashes, turns
+from kumquathold_core.admission import UpstreamLoad
 from kumquathold_core.identity import RequestId, UpstreamRecord
+from kumquathold_core.suspicion import Suspicion
 from kumquathold_core.work import WorkRequested
+from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.upstream_calls import UpstreamCalls
 
+SERVICE_GAIN = 0.2
+
 
 class Job(msgspec.Struct, eq=False):
     """A request at this owner."""
@@ -28,6 +33,12 @@
     started_at: float = 0.0
     """When it got its slot."""
 
+    is_cancelled: bool = False
+    """Whether its call was stopped because nobody waits for it."""
+
+    is_trial: bool = False
+    """Whether it tries a suspect upstream."""
+
     @property
     def request(self) -> RequestId:
         """Names the sending."""
@@ -47,12 +58,44 @@
 class Upstream:
     """An upstream beside this node."""
 
-    __slots__ = ('calls', 'expires_at', 'in_use', 'queue', 'record')
-
-    def __init__(self, record: UpstreamRecord, expires_at: float) -> None:
+    __slots__ = (
+        'calls',
+        'expires_at',
+        'in_use',
+        'queue',
+        'record',
+        'service_seconds',
+        'suspicion',
+    )
+
+    def __init__(
+        self,
+        record: UpstreamRecord,
+        expires_at: float,
+        dialect: UpstreamDialect,
+    ) -> None:
         """Start with nothing in hand."""
         self.record = record
         self.expires_at = expires_at
-        self.calls = UpstreamCalls(record.name)
-        self.queue: turns.TurnQueue[Job] = turns.TurnQueue()
+        address = record.address or record.name
+        self.calls = UpstreamCalls(address, record.name, dialect)
+        self.queue: turns.RankedQueue[Job] = turns.RankedQueue()
         self.in_use = 0
+        self.service_seconds = 0.0
+        self.suspicion = Suspicion()
+
+    def note_service(self, seconds: float) -> None:
+        """Take in how long a request ran."""
+        gain = SERVICE_GAIN if self.service_seconds else 1.0
+        self.service_seconds += gain * (seconds - self.service_seconds)
+
+    def measure(self, now: float, ahead: int) -> UpstreamLoad:
+        """The load as admission sees it, with `ahead` requests waiting."""
+        return UpstreamLoad(
+            slots=self.record.slots,
+            running=self.in_use,
+            waiting=ahead,
+            service_seconds=self.service_seconds,
+            is_suspect=self.suspicion.is_suspect(now),
+            trials=self.suspicion.trials,
+        )
--- a/packages/node/src/kumquathold_node/kernel.py
+++ b/packages/node/src/kumquathold_node/kernel.py
@@ -109,6 +109,7 @@
         """Start with none."""
         self.services: dict[str, Any] = {}
         self.tasks: list[Task] = []
+        self.followers: list[threading.Thread] = []
 
     def register(self, name: str, service: Any) -> None:
         """Make a service known."""
@@ -120,6 +121,11 @@
         """Have a task started and stopped with the kernel."""
         self.tasks.append(task)
 
+    def add_follower(self, name: str, follow: Callable[[], None]) -> None:
+        """Have a function run beside the tasks until the process ends."""
+        thread = threading.Thread(target=follow, name=name, daemon=True)
+        self.followers.append(thread)
+
     def find(self, name: str) -> Any:
         """Look a service up."""
         try:
@@ -132,6 +138,8 @@
         """Run all tasks; stop them in reverse order at the end."""
         for task in self.tasks:
             task.start()
+        for thread in self.followers:
+            thread.start()
         try:
             yield
         finally:
--- a/packages/node/src/kumquathold_node/leaving.py
+++ b/packages/node/src/kumquathold_node/leaving.py
@@ -21,6 +21,7 @@
 
 QUIET_LIMIT_SECONDS = 20.0
 WORK_LIMIT_SECONDS = 70.0
+END_SECONDS = 0.6
 CHECK_SECONDS = 0.05
 ANSWER_FLUSH_SECONDS = 0.3
 
@@ -35,6 +36,7 @@
         self.membership: Membership = kernel.find('membership')
         self.election: RateElection = kernel.find('rate-election')
         self.quiet = settings.quiet
+        self.work_limit = min(WORK_LIMIT_SECONDS, settings.grace - END_SECONDS)
         self.begun = threading.Event()
         kernel.register('leaving', self)
 
@@ -49,23 +51,24 @@
         self.owner.task.post(LeavingBegun())
         self.membership.task.post(NodeLeaving())
         self.door.is_leaving = True
+        begun_at = monotonic()
         self._wait_for_quiet()
-        is_done = self._wait_for_work()
+        is_done = self._wait_for_work(begun_at + self.work_limit)
         self.election.hand_back()
         sleep(ANSWER_FLUSH_SECONDS)
         logger.info('leaving done', all_finished=is_done)
 
     def _wait_for_quiet(self) -> None:
         started_at = monotonic()
-        while monotonic() - started_at < QUIET_LIMIT_SECONDS:
+        limit = min(QUIET_LIMIT_SECONDS, self.work_limit)
+        while monotonic() - started_at < limit:
             latest = max(self.door.last_arrival, started_at)
             if monotonic() - latest >= self.quiet:
                 return
             sleep(CHECK_SECONDS)
 
-    def _wait_for_work(self) -> bool:
-        started_at = monotonic()
-        while monotonic() - started_at < WORK_LIMIT_SECONDS:
+    def _wait_for_work(self, give_up_at: float) -> bool:
+        while monotonic() < give_up_at:
             if not self.door.in_hand and not self.owner.in_hand:
                 return True
             sleep(CHECK_SECONDS)
--- a/packages/node/src/kumquathold_node/main.py
+++ b/packages/node/src/kumquathold_node/main.py
@@ -6,35 +6,21 @@
 import sys
 import threading
 from contextlib import ExitStack
+from typing import Any
 
 import click
 from loguru import logger
 
-from kumquathold_core.identity import NodeRecord
+from kumquathold_core.retries import BUDGET_MAX, BUDGET_PER_REQUEST
 from kumquathold_node import callers, logs
 from kumquathold_node import settings as node_settings
 from kumquathold_node.administration import make_administration_app
-from kumquathold_node.announcements import make_announcement_app
-from kumquathold_node.balancer import Balancer
-from kumquathold_node.callers import Door, make_caller_app, serving
-from kumquathold_node.claims_service import ClaimsService
-from kumquathold_node.clock import start_incarnation
-from kumquathold_node.configuration import (
-    ConfigurationReader,
-    ConfigurationService,
-)
-from kumquathold_node.exchanges import Exchanges
-from kumquathold_node.freshness_service import FreshnessService
-from kumquathold_node.ingress import Ingress
-from kumquathold_node.kernel import Kernel
+from kumquathold_node.assembly import assemble
+from kumquathold_node.callers import make_caller_app, serving
+from kumquathold_node.edges import Edges, own_edges
+from kumquathold_node.health import make_health_app
 from kumquathold_node.leaving import Leaving
-from kumquathold_node.membership import Membership
-from kumquathold_node.metrics import Metrics
-from kumquathold_node.owner import Owner
-from kumquathold_node.platform import Platform
-from kumquathold_node.rate_drawer import RateDrawer
-from kumquathold_node.rate_election import RateElection
-from kumquathold_node.rate_holder import RateHolder
+from kumquathold_node.metrics import make_metrics_app
 from kumquathold_node.seeds import Seeds
 from kumquathold_node.settings import Settings
 from kumquathold_node.transport import AddressInUse, Transport
@@ -43,46 +29,13 @@
 EXIT_ADDRESS = 3
 ADMIN_THREADS = 4
 ANNOUNCE_THREADS = 4
+PAGE_THREADS = 1
 SWITCH_SECONDS = 0.0002
 
 
-def assemble(settings: Settings) -> Kernel:
-    """Put the services of a node together; starts nothing."""
-    kernel = Kernel()
-    metrics = Metrics(settings.statsd)
-    incarnation = start_incarnation()
-    kernel.register('metrics', metrics)
-    kernel.register('platform', Platform(settings.platform, metrics))
-    kernel.register(
-        'transport',
-        Transport(
-            settings.peer,
-            incarnation,
-            settings.fleet_secret,
-            metrics,
-            settings.dial,
-        ),
-    )
-    FreshnessService(kernel, settings)
-    Membership(kernel, _own_record(settings, incarnation))
-    ConfigurationService(kernel)
-    ConfigurationReader(kernel, settings)
-    Exchanges(kernel)
-    ClaimsService(kernel, settings)
-    Owner(kernel)
-    RateHolder(kernel, settings)
-    RateElection(kernel, settings)
-    RateDrawer(kernel, settings)
-    Balancer(kernel, settings)
-    Ingress(kernel)
-    Door(kernel)
-    Leaving(kernel, settings)
-    return kernel
-
-
-def run(settings: Settings) -> None:
+def run(settings: Settings, edges: Edges) -> None:
     """Run a node until it has left the fleet."""
-    kernel = assemble(settings)
+    kernel = assemble(settings, edges)
     transport: Transport = kernel.find('transport')
     leaving: Leaving = kernel.find('leaving')
     seeds = Seeds(kernel, settings)
@@ -90,14 +43,14 @@
     with ExitStack() as stack:
         stack.enter_context(transport.listening())
         stack.enter_context(kernel.running())
-        seeds.join()
-        stack.enter_context(
-            serving(
-                make_announcement_app(kernel),
-                settings.announce,
-                ANNOUNCE_THREADS,
-            ),
-        )
+        pages = [
+            (edges.make_announcement_app(kernel), settings.announce),
+            (make_health_app(kernel, edges.caller_dialect), settings.health),
+            (make_metrics_app(kernel.find('metrics')), settings.metrics),
+        ]
+        for app, address in pages:
+            if address:
+                stack.enter_context(serving(app, address, ANNOUNCE_THREADS))
         stack.enter_context(
             serving(
                 make_administration_app(kernel, settings),
@@ -107,23 +60,30 @@
         )
         stack.enter_context(
             serving(
-                make_caller_app(kernel),
+                make_caller_app(kernel, edges.caller_dialect),
                 settings.callers,
                 settings.threads,
                 lambda: leaving.door.is_leaving,
             ),
         )
-        _leave_on_signals(leaving)
+        seeds.join()
+        _react_to_signals(leaving)
         logger.info('node started', zone=settings.zone, region=settings.region)
         _wait_interruptibly(leaving)
+    logger.info('node stopped')
 
 
-def _leave_on_signals(leaving: Leaving) -> None:
+def _react_to_signals(leaving: Leaving) -> None:
     def begin(*_: object) -> None:
         leaving.begin()
 
+    def note_reload(*_: object) -> None:
+        logger.info('reload asked for', changed=False)
+
     signal.signal(signal.SIGTERM, begin)
     signal.signal(signal.SIGINT, begin)
+    # Flags and environment stay as they were at the start.
+    signal.signal(signal.SIGHUP, note_reload)
 
 
 def _wait_interruptibly(leaving: Leaving) -> None:
@@ -133,109 +93,151 @@
     thread.join()
 
 
-def _own_record(settings: Settings, incarnation: int) -> NodeRecord:
-    return NodeRecord(
-        address=settings.peer,
-        incarnation=incarnation,
-        version=1,
-        zone=settings.zone,
-        region=settings.region,
-        admin=settings.admin,
-        leaving=False,
-        upstreams=(),
-        rate_groups=(),
-    )
-
-
 def _split(text: str) -> tuple[str, ...]:
     return tuple(part.strip() for part in text.split(',') if part.strip())
 
 
-@click.command(context_settings={'auto_envvar_prefix': 'KUMQUATHOLD'})
-@click.option('--peer', required=True, help='Address for other nodes, IP:port.')
-@click.option('--callers', 'callers_at', required=True, help="Callers' HTTP.")
-@click.option('--admin', required=True, help='Administration API, IP:port.')
-@click.option('--announce', required=True, help='Where upstreams announce.')
-@click.option('--platform', required=True, help='Key-value service, IP:port.')
-@click.option('--zone', required=True, help='Availability zone of this VM.')
-@click.option('--region', required=True, help='Region of the zone.')
-@click.option('--regions', required=True, help='All regions, with commas.')
-@click.option('--store-region', required=True, help='Region of the platform.')
-@click.option('--fleet-secret-file', required=True, help='Secret of the fleet.')
-@click.option(
-    '--operator-secret-file', required=True, help="Operators' secret."
-)
-@click.option('--join', default='', help='Peers to try, with commas.')
-@click.option('--dial', default='', help='PEER=ADDRESS pairs, with commas.')
-@click.option('--statsd', default='', help='StatsD server, IP:port.')
-@click.option(
-    '--threads',
-    default=node_settings.DEFAULT_THREADS,
-    help="Callers' requests at a time.",
+OPTIONS = (
+    click.option(
+        '--peer', required=True, help='Address for other nodes, IP:port.'
+    ),
+    click.option(
+        '--callers', 'callers_at', required=True, help="Callers' HTTP."
+    ),
+    click.option('--admin', required=True, help='Administration API, IP:port.'),
+    click.option('--announce', required=True, help='Where upstreams announce.'),
+    click.option(
+        '--platform', required=True, help='Key-value service, IP:port.'
+    ),
+    click.option('--zone', required=True, help='Availability zone of this VM.'),
+    click.option('--region', required=True, help='Region of the zone.'),
+    click.option('--regions', required=True, help='All regions, with commas.'),
+    click.option(
+        '--store-region', required=True, help='Region of the platform.'
+    ),
+    click.option(
+        '--fleet-secret-file', default='', help='Secret of the fleet.'
+    ),
+    click.option(
+        '--operator-secret-file', default='', help="Operators' secret."
+    ),
+    click.option('--join', default='', help='Peers to try, with commas.'),
+    click.option('--dial', default='', help='PEER=ADDRESS pairs, with commas.'),
+    click.option('--statsd', default='', help='StatsD server, IP:port.'),
+    click.option(
+        '--threads',
+        default=node_settings.DEFAULT_THREADS,
+        help="Callers' requests at a time.",
+    ),
+    click.option(
+        '--rate-groups',
+        default=node_settings.DEFAULT_RATE_GROUPS,
+        help='Equal on all nodes.',
+    ),
+    click.option(
+        '--rate-term',
+        default=node_settings.DEFAULT_RATE_TERM_SECONDS,
+        help='Seconds; see the runbook.',
+    ),
+    click.option(
+        '--quiet',
+        default=node_settings.DEFAULT_QUIET_SECONDS,
+        help='Seconds of quiet before leaving.',
+    ),
+    click.option('--log-level', default='INFO', type=click.Choice(logs.LEVELS)),
+    click.option('--fleet-secret', default='', help='In place of its file.'),
+    click.option('--operator-secret', default='', help='In place of its file.'),
+    click.option('--service', default='', help='Service on this VM.'),
+    click.option('--health', default='', help='Health address, IP:port.'),
+    click.option('--metrics', default='', help='Metrics address, IP:port.'),
+    click.option(
+        '--heartbeat',
+        default=node_settings.DEFAULT_HEARTBEAT_SECONDS,
+        help='Seconds between heartbeats.',
+    ),
+    click.option(
+        '--far-rounds',
+        default=1,
+        help='One heartbeat in so many leaves the zone.',
+    ),
+    click.option(
+        '--explore-share',
+        default=node_settings.DEFAULT_EXPLORE_SHARE,
+        help='Share of requests that go elsewhere to compare.',
+    ),
+    click.option(
+        '--retry-ratio',
+        default=BUDGET_PER_REQUEST,
+        help='Retries that each request earns this node.',
+    ),
+    click.option(
+        '--retry-extra',
+        default=BUDGET_MAX,
+        help='Retries that this node may save up.',
+    ),
+    click.option(
+        '--grace',
+        default=node_settings.DEFAULT_GRACE_SECONDS,
+        help='Seconds from the signal to leave to the end.',
+    ),
 )
-@click.option(
-    '--rate-groups',
-    default=node_settings.DEFAULT_RATE_GROUPS,
-    help='Equal on all nodes.',
-)
-@click.option(
-    '--rate-term',
-    default=node_settings.DEFAULT_RATE_TERM_SECONDS,
-    help='Seconds; see the runbook.',
-)
-@click.option(
-    '--quiet',
-    default=node_settings.DEFAULT_QUIET_SECONDS,
-    help='Seconds of quiet before leaving.',
-)
-@click.option('--log-level', default='INFO', type=click.Choice(logs.LEVELS))
-def main(
-    *,
-    callers_at: str,
-    regions: str,
-    join: str,
-    dial: str,
-    statsd: str,
-    fleet_secret_file: str,
-    operator_secret_file: str,
-    **given: object,
-) -> None:
-    """Run the process that stands beside the upstreams of one VM.
+
+
+def make_command(edges: Edges) -> click.Command:
+    """The command of a node with the edges of one deployment.
 
     Each flag can be given as an environment variable too, with the prefix
     KUMQUATHOLD_.
     """
-    sys.setswitchinterval(SWITCH_SECONDS)
-    try:
-        settings = node_settings.check_settings(
-            Settings(
-                callers=callers_at,
-                regions=_split(regions),
-                join=_split(join),
-                dial=node_settings.parse_dial(dial),
-                statsd=node_settings.read_statsd(statsd),
-                fleet_secret=node_settings.read_secret(
-                    '--fleet-secret-file',
-                    fleet_secret_file,
-                ),
-                operator_secret=node_settings.read_secret(
-                    '--operator-secret-file',
-                    operator_secret_file,
-                ),
-                **given,  # type: ignore[arg-type]
-            ),
-        )
-    except* node_settings.SettingsError as errors:
-        for error in node_settings.flatten(errors):
-            click.echo(f'kumquathold-node: {error}', err=True)
-        sys.exit(EXIT_SETTINGS)
-    logs.set_up_logs(settings.log_level, settings.peer)
+
+    def start(**given: Any) -> None:
+        """Run the process that stands beside the upstreams of one VM."""
+        sys.setswitchinterval(SWITCH_SECONDS)
+        try:
+            settings = _read_settings(given)
+        except* node_settings.SettingsError as errors:
+            for error in node_settings.flatten(errors):
+                click.echo(f'kumquathold-node: {error}', err=True)
+            sys.exit(EXIT_SETTINGS)
+        with logs.writing_logs(settings.log_level, settings.peer):
+            _run_or_exit(settings, edges)
+
+    command: Any = start
+    for option in reversed(OPTIONS):
+        command = option(command)
+    context = {'auto_envvar_prefix': 'KUMQUATHOLD'}
+    return click.command(context_settings=context)(command)
+
+
+def _run_or_exit(settings: Settings, edges: Edges) -> None:
     try:
-        run(settings)
+        run(settings, edges)
     except AddressInUse as error:
         logger.error('address in use', address=str(error))
         sys.exit(EXIT_ADDRESS)
 
 
+def _read_settings(given: dict[str, Any]) -> Settings:
+    """Make the settings of the flags; raises `SettingsErrors`."""
+    secrets: dict[str, Any] = {
+        name: node_settings.take_secret(
+            f'--{name.replace("_", "-")}',
+            given.pop(name),
+            given.pop(f'{name}_file'),
+        )
+        for name in ('fleet_secret', 'operator_secret')
+    }
+    read: dict[str, Any] = {
+        'callers': given.pop('callers_at'),
+        'regions': tuple(dict.fromkeys(_split(given.pop('regions')))),
+        'join': _split(given.pop('join')),
+        'dial': node_settings.parse_dial(given.pop('dial')),
+        'statsd': node_settings.read_statsd(given.pop('statsd')),
+    }
+    return node_settings.check_settings(Settings(**given, **read, **secrets))
+
+
+main = make_command(own_edges())
+
 if __name__ == '__main__':
     main()
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -20,19 +20,21 @@
 from kumquathold_core.clocks import ClockReading
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.kernel import Kernel, Task
+from kumquathold_node.settings import Settings
 from kumquathold_node.transport import Transport
 
 if TYPE_CHECKING:
     from kumquathold_core.identity import NodeRecord, UpstreamRecord
     from kumquathold_core.wire import Envelope
 
-ROUND_SECONDS = 0.25
 DIRECT_SECONDS = 0.3
 INDIRECT_SECONDS = 0.6
 HELPERS = 3
 TABLE_RECORDS = 32
 TABLE_ASK_SECONDS = 2.0
 URGENT_FANOUT = 16
+NEWS_NEAR_FANOUT = 3
+URGENT_FAR_FANOUT = 3
 DEAD_PING_SECONDS = 1.0
 
 
@@ -113,7 +115,12 @@
 class Membership:
     """Owns the member table; others read `view`."""
 
-    def __init__(self, kernel: Kernel, own: NodeRecord) -> None:
+    def __init__(
+        self,
+        kernel: Kernel,
+        own: NodeRecord,
+        settings: Settings,
+    ) -> None:
         """Find the services that are needed, and register."""
         self.transport: Transport = kernel.find('transport')
         self.freshness: FreshnessService = kernel.find('freshness')
@@ -121,7 +128,9 @@
         self.heartbeats: dict[int, Heartbeat] = {}
         self.readings: dict[str, ClockReading] = {}
         self.awaited: dict[str, list[Future[ClockReading]]] = {}
-        self.turns: list[str] = []
+        self.turns: dict[bool, list[str]] = {True: [], False: []}
+        self.rounds = 0
+        self.far_rounds = settings.far_rounds
         self.number = 0
         self.seeds: tuple[str, ...] = ()
         self.table_asked_at = -TABLE_ASK_SECONDS
@@ -146,7 +155,7 @@
                 ReadingWanted: self.on_reading_wanted,
             },
             tick=self.run_round,
-            tick_seconds=ROUND_SECONDS,
+            tick_seconds=settings.heartbeat,
         )
         self.transport.deliver_to(self.task)
         kernel.register('membership', self)
@@ -183,6 +192,18 @@
         self.transport.close_idle()
         self._refresh_view()
 
+    def news_peers(self) -> list[str]:
+        """A few peers to tell of news: of the own zone, and one beyond."""
+        view = self.view
+        own = self.table.own
+        near = [one.address for one in view.nodes if one.zone == own.zone]
+        far = [one.address for one in view.nodes if one.zone != own.zone]
+        chosen = [
+            *self.rng.sample(near, min(NEWS_NEAR_FANOUT, len(near))),
+            *self.rng.sample(far, min(1, len(far))),
+        ]
+        return [peer for peer in chosen if peer != own.address]
+
     def on_ping_sent(self, envelope: Envelope[gossip.PingSent]) -> None:
         """Answer a heartbeat."""
         ping = envelope.message
@@ -326,17 +347,39 @@
             self._ping(self.rng.choice(dead), now)
 
     def _next_turn(self) -> str | None:
-        if not self.turns:
-            self.turns = self.table.peers()
-            self.rng.shuffle(self.turns)
-        return self.turns.pop() if self.turns else None
+        """The peer of this round: mostly one of the own zone."""
+        self.rounds += 1
+        is_far = self.rounds % self.far_rounds == 0
+        peer = self._take_turn(is_far=is_far)
+        return peer or self._take_turn(is_far=True)
+
+    def _take_turn(self, *, is_far: bool) -> str | None:
+        turns = self.turns[is_far]
+        if not turns:
+            turns.extend(self._peers(is_far=is_far))
+            self.rng.shuffle(turns)
+        return turns.pop() if turns else None
+
+    def _peers(self, *, is_far: bool) -> list[str]:
+        """Peers of other zones, or those of the own one.
+
+        Where all rounds are alike, zones make no difference.
+        """
+        if self.far_rounds == 1:
+            return self.table.peers()
+        own_zone = self.table.own.zone
+        return [
+            peer
+            for peer in self.table.peers()
+            if (self.table.members[peer].record.zone != own_zone) == is_far
+        ]
 
     def _judge_heartbeats(self, now: float) -> None:
         for number, heartbeat in list(self.heartbeats.items()):
             age = now - heartbeat.sent_at
             if age >= DIRECT_SECONDS + INDIRECT_SECONDS:
                 self.heartbeats.pop(number)
-                self.transport.reset(heartbeat.peer)
+                self.transport.reset(heartbeat.peer, heartbeat.sent_at)
                 if self.table.suspect(heartbeat.peer, now):
                     logger.info('node suspected', peer=heartbeat.peer)
             elif age >= DIRECT_SECONDS and not heartbeat.is_indirect:
@@ -372,12 +415,19 @@
 
     def _spread_now(self) -> None:
         self._refresh_view()
-        peers = self.table.peers()
-        chosen = self.rng.sample(peers, min(URGENT_FANOUT, len(peers)))
+        chosen = self._urgent_peers()
         now = monotonic()
         for peer in chosen:
             self._ping(peer, now)
 
+    def _urgent_peers(self) -> list[str]:
+        if self.far_rounds == 1:
+            peers = self.table.peers()
+            return self.rng.sample(peers, min(URGENT_FANOUT, len(peers)))
+        far = self._peers(is_far=True)
+        drawn = self.rng.sample(far, min(URGENT_FAR_FANOUT, len(far)))
+        return [*self._peers(is_far=False), *drawn]
+
     def _refresh_view(self) -> None:
         if self.seen_changes != self.table.changes:
             self.view = self._make_view()
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import http
 from concurrent.futures import ThreadPoolExecutor
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -14,12 +15,20 @@
 import msgspec
 from loguru import logger
 
-from kumquathold_core import assembly, crashes, wire, work
+from kumquathold_core import (
+    admission,
+    assembly,
+    crashes,
+    lifetimes,
+    wire,
+    work,
+)
 from kumquathold_core.memory import RequestMemory
 from kumquathold_core.work import Outcome, Refusal
 from kumquathold_node import claims_service
-from kumquathold_node.announcements import Announced
+from kumquathold_node.announcements import Announced, Deregistered
 from kumquathold_node.configuration import ConfigurationService
+from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.jobs import Job, Upstream
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import Membership, UpstreamsChanged
@@ -33,12 +42,21 @@
 )
 
 if TYPE_CHECKING:
-    from kumquathold_core.identity import RequestId
+    from kumquathold_core.identity import RequestId, UpstreamRecord
     from kumquathold_core.wire import Envelope
 
 TICK_SECONDS = 0.25
 WORKER_THREADS = 64
 QUEUE_SHARE_OF_DEADLINE = 0.5
+INQUIRY_SECONDS = 0.25
+SLOW_FACTOR = 3.0
+GRAY_REASONS = frozenset(
+    (
+        Refusal.upstream_failed,
+        Refusal.upstream_unreachable,
+    )
+)
+"""Failures of a call that speak against the upstream."""
 
 
 class CallAnswered(msgspec.Struct, frozen=True):
@@ -68,8 +86,10 @@
 class Owner:
     """Owns the upstreams, their queues and the memory of requests."""
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, kernel: Kernel, dialect: UpstreamDialect) -> None:
         """Find the services that are needed, and register."""
+        self.dialect = dialect
+        self.lifetimes = lifetimes.Lifetimes()
         self.transport: Transport = kernel.find('transport')
         self.membership: Membership = kernel.find('membership')
         self.configuration: ConfigurationService = kernel.find('configuration')
@@ -102,6 +122,7 @@
                 CallAnswered: self.on_call_answered,
                 CallEndedWithout: self.on_call_ended_without,
                 Announced: self.on_announced,
+                Deregistered: self.on_deregistered,
                 LeavingBegun: self.on_leaving_begun,
             },
             tick=self.on_tick,
@@ -164,6 +185,10 @@
     def on_inquiry_made(self, envelope: Envelope[work.InquiryMade]) -> None:
         """Say what became of a request; an unseen one never runs."""
         asked = envelope.message
+        if asked.repeated:
+            # The first answer was lost; the own connection may be silent.
+            opened_before = monotonic() - INQUIRY_SECONDS
+            self.transport.reset(envelope.sender, opened_before)
         if asked.owner_incarnation != self.transport.incarnation:
             failure = make_failure(
                 asked.request,
@@ -191,10 +216,22 @@
         upstream = self.upstreams.get(job.work.upstream)
         if upstream is None:
             return
-        if upstream.queue.remove(job.work.workspace, job):
+        asked_work = job.work
+        is_queued = upstream.queue.remove(
+            asked_work.rank,
+            asked_work.workspace,
+            job,
+        )
+        if is_queued:
             self.metrics.count('owner.cancelled.queued')
             self._fail(job, Outcome.not_run, Refusal.cancelled)
-        elif not job.work.claim and upstream.calls.cancel(job.request):
+            return
+        # What must not run twice goes on: stopping it halfway helps nobody.
+        is_stopped = asked_work.idempotent and upstream.calls.cancel(
+            job.request,
+        )
+        if is_stopped:
+            job.is_cancelled = True
             self.metrics.count('owner.cancelled.running')
 
     def on_crash_seen(self, envelope: Envelope[work.CrashSeen]) -> None:
@@ -205,20 +242,70 @@
     def on_announced(self, announced: Announced) -> None:
         """Take in what an upstream says of itself."""
         record = announced.record
+        is_news = self.lifetimes.admit(
+            record.name,
+            announced.sighting,
+            leaving=record.leaving,
+        )
+        if not is_news:
+            self.metrics.count('owner.announcements_late')
+            announced.reply.set_result((0, 0))
+            return
+        self._drop_predecessors(record)
         upstream = self.upstreams.get(record.name)
         if upstream is None:
-            upstream = Upstream(record, announced.expires_at)
+            upstream = Upstream(record, announced.expires_at, self.dialect)
             self.upstreams[record.name] = upstream
             self._tell_upstreams()
+            logger.info('upstream announced', **msgspec.structs.asdict(record))
         upstream.expires_at = announced.expires_at
         if upstream.record != record:
             upstream.record = record
             self._tell_upstreams()
+            logger.info('upstream changed', **msgspec.structs.asdict(record))
+        if record.leaving:
+            self._refuse_waiting(upstream)
         self._start_waiting(upstream)
         announced.reply.set_result(
             (upstream.in_use, upstream.queue.size),
         )
 
+    def on_deregistered(self, deregistered: Deregistered) -> None:
+        """Send an upstream no further work; what runs there goes on."""
+        self.lifetimes.leave(deregistered.name, deregistered.lifetime)
+        upstream = self.upstreams.get(deregistered.name)
+        in_use = 0
+        if upstream is not None:
+            in_use = upstream.in_use
+            upstream.record = msgspec.structs.replace(
+                upstream.record,
+                leaving=True,
+            )
+            self._refuse_waiting(upstream)
+            self._tell_upstreams()
+            logger.info('upstream deregistered', upstream=deregistered.name)
+        deregistered.reply.set_result((in_use, 0))
+
+    def _drop_predecessors(self, record: UpstreamRecord) -> None:
+        """Forget upstreams whose address or name has a new process."""
+        for name, known in list(self.upstreams.items()):
+            is_same = name == record.name
+            is_older = known.record.lifetime < record.lifetime
+            if is_same and not is_older:
+                continue
+            if is_same or known.record.address == record.address:
+                self._forget(known)
+
+    def _forget(self, upstream: Upstream) -> None:
+        self._refuse_waiting(upstream)
+        upstream.calls.close()
+        self.upstreams.pop(upstream.record.name, None)
+        self._tell_upstreams()
+
+    def _refuse_waiting(self, upstream: Upstream) -> None:
+        for job in upstream.queue.drain():
+            self._fail(job, Outcome.not_run, Refusal.upstream_leaving)
+
     def on_leaving_begun(self, _: LeavingBegun) -> None:
         """Refuse new work from now on; what is in hand goes on."""
         self.is_leaving = True
@@ -246,8 +333,11 @@
     def on_call_answered(self, answered: CallAnswered) -> None:
         """Give the slot on, and the answer back."""
         job = answered.job
+        answer = answered.answer
+        is_failure = answer.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+        self._note_outcome(job, answer.seconds, failed=is_failure)
         self._free_slot(job)
-        self.metrics.time('owner.upstream', answered.answer.seconds)
+        self.metrics.time('owner.upstream', answer.seconds)
         if job.work.claim:
             self.claims.keep_outcome(job, answered.answer)
             return
@@ -257,6 +347,10 @@
         """Give the slot on, and say what is known."""
         job = ended.job
         failure = ended.failure
+        if not job.is_cancelled and self._speaks_against(job, failure):
+            self._note_outcome(job, 0, failed=True)
+        elif job.is_trial:
+            self._end_trial(job)
         self._free_slot(job)
         self.metrics.count(f'owner.failed.{failure.reason.value}')
         if failure.crashed or failure.reason == Refusal.upstream_unreachable:
@@ -298,9 +392,7 @@
             is_silent = upstream.expires_at <= now
             if is_silent and not upstream.in_use and not upstream.queue.size:
                 logger.info('upstream vanished', upstream=name)
-                upstream.calls.close()
-                self.upstreams.pop(name)
-                self._tell_upstreams()
+                self._forget(upstream)
 
     def _assemble(
         self,
@@ -332,12 +424,72 @@
             return
         upstream = self.upstreams[job.work.upstream]
         asked = job.work
-        if not upstream.queue.push(asked.workspace, asked.weight, job):
+        now = monotonic()
+        load = upstream.measure(now, upstream.queue.ahead_of(asked.rank))
+        refusal = admission.find_refusal(
+            load,
+            seconds_left=asked.deadline - now,
+            idempotent=asked.idempotent,
+            firm=asked.firm,
+        )
+        if refusal is not None:
+            self._fail(
+                job,
+                Outcome.not_run,
+                refusal,
+                wait=admission.expect_wait(load),
+            )
+            return
+        is_taken = upstream.queue.push(
+            asked.rank,
+            asked.workspace,
+            asked.weight,
+            job,
+        )
+        if not is_taken:
             self._fail(job, Outcome.not_run, Refusal.overloaded)
             return
+        if load.is_suspect and asked.idempotent:
+            job.is_trial = True
+            upstream.suspicion.trials += 1
         self.jobs[job.request] = job
         self._start_waiting(upstream)
 
+    def _note_outcome(self, job: Job, seconds: float, *, failed: bool) -> None:
+        upstream = self.upstreams.get(job.work.upstream)
+        if upstream is None:
+            return
+        now = monotonic()
+        was_suspect = upstream.suspicion.is_suspect(now)
+        upstream.suspicion.note(now, failed=failed)
+        if not failed:
+            upstream.note_service(seconds)
+        is_suspect = upstream.suspicion.is_suspect(now)
+        if is_suspect != was_suspect:
+            self.metrics.count('owner.suspicions', int(is_suspect))
+            logger.info(
+                'upstream suspected' if is_suspect else 'upstream trusted',
+                upstream=job.work.upstream,
+                log_odds=round(upstream.suspicion.log_odds, 2),
+                request=job.work.caller_id,
+            )
+        if job.is_trial:
+            self._end_trial(job)
+
+    def _speaks_against(self, job: Job, failure: CallFailed) -> bool:
+        """Whether a failed call is evidence that the upstream is gray."""
+        if failure.reason != Refusal.deadline_passed:
+            return failure.reason in GRAY_REASONS
+        upstream = self.upstreams.get(job.work.upstream)
+        usual = upstream.service_seconds if upstream else 0
+        return monotonic() - job.started_at > SLOW_FACTOR * usual
+
+    def _end_trial(self, job: Job) -> None:
+        job.is_trial = False
+        upstream = self.upstreams.get(job.work.upstream)
+        if upstream is not None:
+            upstream.suspicion.trials -= 1
+
     def _find_refusal(self, job: Job) -> Refusal | None:
         asked = job.work
         upstream = self.upstreams.get(asked.upstream)
@@ -428,7 +580,8 @@
             headers=ended.headers,
             service_seconds=ended.seconds,
             queued_seconds=job.started_at - job.queued_at,
-            in_use=upstream.in_use if upstream else 0,
+            backlog=_backlog_of(upstream),
+            suspect=_is_suspect(upstream),
             replayed=replayed,
             body_bytes=len(ended.body),
             body_digest=wire.digest_body(ended.body),
@@ -445,10 +598,19 @@
         reason: Refusal,
         *,
         crashed: bool = False,
+        wait: float = 0,
     ) -> None:
         self.metrics.count(f'owner.refused.{reason.value}')
         self.jobs.pop(job.request, None)
-        failure = make_failure(job.request, outcome, reason, crashed=crashed)
+        if job.is_trial:
+            self._end_trial(job)
+        upstream = self.upstreams.get(job.work.upstream)
+        failure = msgspec.structs.replace(
+            make_failure(job.request, outcome, reason, crashed=crashed),
+            backlog=_backlog_of(upstream),
+            suspect=_is_suspect(upstream),
+            wait=wait,
+        )
         self.memory.keep_failure(failure)
         self.transport.try_send(job.reply_to, failure)
 
@@ -490,3 +652,13 @@
     def _tell_upstreams(self) -> None:
         records = tuple(one.record for one in self.upstreams.values())
         self.membership.task.post(UpstreamsChanged(records))
+
+
+def _backlog_of(upstream: Upstream | None) -> int:
+    if upstream is None:
+        return 0
+    return upstream.in_use + upstream.queue.size
+
+
+def _is_suspect(upstream: Upstream | None) -> bool:
+    return upstream is not None and upstream.suspicion.is_suspect(monotonic())
--- a/packages/node/src/kumquathold_node/rate_election.py
+++ b/packages/node/src/kumquathold_node/rate_election.py
@@ -12,15 +12,15 @@
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import GroupsHeld, Membership
 from kumquathold_node.metrics import Metrics
-from kumquathold_node.platform import (
+from kumquathold_node.rate_holder import GroupsChanged, RateHolder
+from kumquathold_node.settings import Settings
+from kumquathold_node.store import (
     Lease,
     Platform,
     PlatformError,
     Stored,
     Write,
 )
-from kumquathold_node.rate_holder import GroupsChanged, RateHolder
-from kumquathold_node.settings import Settings
 from kumquathold_node.transport import Transport
 
 ELECTION_SECONDS = 0.5
--- a/packages/node/src/kumquathold_node/seeds.py
+++ b/packages/node/src/kumquathold_node/seeds.py
@@ -11,13 +11,14 @@
 import msgspec
 from loguru import logger
 
-from kumquathold_core import platform_keys
+from kumquathold_core import members, platform_keys
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import Membership, PeersGiven
-from kumquathold_node.platform import Platform, PlatformError, Stored, Write
 from kumquathold_node.settings import Settings
+from kumquathold_node.store import Platform, PlatformError, Stored, Write
 
-MAX_SEEDS = 12
+MAX_SEEDS = 8
+SWAP_ATTEMPTS = 2
 CHECK_SECONDS = 2.0
 CHANCE_WHEN_FULL = 0.02
 
@@ -50,7 +51,7 @@
     def check(self) -> None:
         """Read the record where the node is alone or not yet in it."""
         is_alone = len(self.membership.view.nodes) == 1
-        is_due = is_alone or not self.is_written
+        is_due = is_alone or self._is_missing()
         if not is_due and self.rng.random() > CHANCE_WHEN_FULL:
             return
         try:
@@ -64,25 +65,52 @@
             self.membership.task.post(PeersGiven(self.settings.join))
         self.check()
 
+    def _is_missing(self) -> bool:
+        """Whether this node should stand in the record and does not.
+
+        Only the first nodes by rank write, so that a fleet that starts at
+        once does not race for one key.
+        """
+        if self.is_written:
+            return False
+        nodes = list(self.membership.view.nodes)
+        first = members.rank_nodes(nodes, 'seed')[:MAX_SEEDS]
+        return any(node.address == self.settings.peer for node in first)
+
     def _read_and_write(self) -> None:
         reading = self.platform.read(platform_keys.SEEDS)
         stored = reading.found[0] if reading.found else None
-        known = _decode_addresses(stored)
-        self.membership.task.post(PeersGiven((*self.settings.join, *known)))
+        for _ in range(SWAP_ATTEMPTS):
+            known = _decode_addresses(stored)
+            peers = (*self.settings.join, *known)
+            self.membership.task.post(PeersGiven(peers))
+            stored = self._write(stored, known)
+            if stored is None:
+                return
+
+    def _write(
+        self,
+        stored: Stored | None,
+        known: tuple[str, ...],
+    ) -> Stored | None:
+        """Put the own address into the record; give what another wrote."""
         own = self.settings.peer
         living = self.membership.view.by_address
         kept = [one for one in known if one in living and one != own]
-        self.is_written = own in known or len(kept) >= MAX_SEEDS
-        if self.is_written:
-            return
+        self.is_written = own in known
+        if self.is_written or len(kept) >= MAX_SEEDS:
+            return None
         addresses = (*known, own)[-MAX_SEEDS:]
-        value = msgspec.json.encode(SeedRecord(addresses))
         write = Write(
             platform_keys.SEEDS,
-            value,
+            msgspec.json.encode(SeedRecord(addresses)),
             stored.mod_revision if stored else 0,
         )
-        self.is_written = self.platform.swap([write]).succeeded
+        swap = self.platform.swap([write])
+        self.is_written = swap.succeeded
+        is_lost = not swap.succeeded and swap.found
+        # A record with peers in it is enough to join by.
+        return swap.found[0] if is_lost and not known else None
 
 
 def _decode_addresses(stored: Stored | None) -> tuple[str, ...]:
--- a/packages/node/src/kumquathold_node/sending.py
+++ b/packages/node/src/kumquathold_node/sending.py
@@ -14,9 +14,9 @@
 from kumquathold_core.identity import RequestId
 from kumquathold_core.retries import Failure
 from kumquathold_core.rules import Route, Service, Workspace
-from kumquathold_core.work import Outcome, Refusal
+from kumquathold_core.work import Headers, Outcome, Refusal
 from kumquathold_node import caller_requests
-from kumquathold_node.balancer import Balancer, Choice
+from kumquathold_node.balancer import Balancer, Choice, Told
 from kumquathold_node.caller_requests import CallerAnswer, CallerRequest
 from kumquathold_node.configuration import Configuration
 from kumquathold_node.exchanges import Answered, Exchanges, Mailbox
@@ -24,16 +24,16 @@
 from kumquathold_node.membership import Membership
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.transport import LinkFull, Transport
-from kumquathold_node.upstream_calls import OUTCOME_HEADER
+from kumquathold_node.upstream_calls import OUTCOME_HEADER, PUBLIC
 
 HEARING_SECONDS = 0.25
 MAX_HEARING_SECONDS = 1.0
 SILENT_INQUIRIES = 3
 SILENT_LINK_SECONDS = 0.4
-CANCEL_GRACE_SECONDS = 0.3
+CANCEL_GRACE_SECONDS = 0.15
+GONE_CHECK_SECONDS = 0.2
 FIRST_CONTACT_SECONDS = 0.2
 MIN_WAIT_SECONDS = 0.001
-PUBLIC = '-'
 SERVER_ERROR = 500
 
 
@@ -50,7 +50,13 @@
     """Where it goes."""
 
     service: Service
-    """The route's service."""
+    """The route's service, or the drawn one of several."""
+
+    headers: Headers
+    """What goes to the upstream, from the caller and from the node."""
+
+    rank: int
+    """Place among waiting requests; lower goes first."""
 
     workspace: Workspace | None
     """Nothing on public routes."""
@@ -99,6 +105,8 @@
         'context',
         'counted',
         'crashed',
+        'heard_at',
+        'inquired_at',
         'inquiries',
         'owner_incarnation',
         'request',
@@ -119,6 +127,8 @@
         self.crashed = crashed
         self.counted = False
         self.inquiries = 0
+        self.inquired_at = 0.0
+        self.heard_at = 0.0
         self.owner_incarnation = 0
         self.started_at = monotonic()
         self.request = RequestId(
@@ -182,12 +192,15 @@
             key_id=admitted.key_id,
             weight=workspace.weight if workspace else 1,
             route=admitted.route.name,
+            caller_id=request.id,
             method=request.method,
             target=request.target,
-            headers=request.headers,
+            headers=admitted.headers,
             idempotent=admitted.route.idempotent,
             claim=admitted.claim,
             crashes=self.crashed,
+            rank=admitted.rank,
+            firm=self.choice.is_firm,
             body_bytes=len(request.body),
             body_digest=admitted.body_digest,
             body=first,
@@ -206,7 +219,7 @@
             try:
                 event = mailbox.get(timeout=self._patience(hearing))
             except queue.Empty:
-                ended = self._on_silence(mailbox)
+                ended = self._on_silence(mailbox, hearing)
                 if ended is not None:
                     return ended
                 continue
@@ -215,17 +228,22 @@
             if isinstance(event, work.WorkFailed):
                 return self._on_failed(event)
             self.inquiries = 0
+            self.heard_at = monotonic()
             hearing = min(hearing * 2, MAX_HEARING_SECONDS)
 
     def _patience(self, hearing: float) -> float:
         left = self.admitted.deadline - monotonic()
         slow_in = self.started_at + self.choice.slow_limit - monotonic()
-        patience = min(hearing, left)
+        patience = min(hearing, left, GONE_CHECK_SECONDS)
         if not self.counted and slow_in > 0:
             patience = min(patience, slow_in)
         return max(patience, MIN_WAIT_SECONDS)
 
-    def _on_silence(self, mailbox: Mailbox) -> Failure | None:
+    def _on_silence(
+        self,
+        mailbox: Mailbox,
+        hearing: float,
+    ) -> Failure | None:
         now = monotonic()
         admitted = self.admitted
         is_slow = now - self.started_at > self.choice.slow_limit
@@ -242,16 +260,19 @@
             return self._stop(mailbox, Refusal.deadline_passed)
         if admitted.request.has_gone() and not admitted.claim:
             return self._stop(mailbox, Refusal.cancelled)
-        if now - self.started_at < HEARING_SECONDS:
+        if now - max(self.started_at, self.heard_at) < hearing:
             return None
+        self.heard_at = now
         return self._inquire()
 
     def _inquire(self) -> Failure | None:
         self.inquiries += 1
-        transport = self.context.transport
-        silence = monotonic() - transport.last_heard(self.owner)
-        if self.inquiries > 1 and silence >= SILENT_LINK_SECONDS:
-            transport.reset(self.owner)
+        is_repeated = self.inquiries > 1
+        if is_repeated:
+            # The connection may have gone silent, though the owner is heard
+            # on its own connection to this node.
+            self.context.transport.reset(self.owner, self.inquired_at)
+        self.inquired_at = monotonic()
         if self.inquiries > SILENT_INQUIRIES:
             self._note_silence()
             if self._may_leave():
@@ -260,6 +281,7 @@
             work.InquiryMade(
                 request=self.request,
                 owner_incarnation=self.owner_incarnation,
+                repeated=is_repeated,
             )
         )
         return None
@@ -298,7 +320,7 @@
             self.admitted.route.name,
             self.choice,
             seconds=answer.service_seconds,
-            in_use=answer.in_use,
+            told=Told(answer.backlog, answer.suspect),
             failed=answer.status >= SERVER_ERROR,
             counted=self.counted or answer.replayed,
         )
@@ -320,7 +342,8 @@
 
     def _on_failed(self, event: work.WorkFailed) -> Failure:
         balancer = self.context.balancer
-        balancer.note_refusal(self.choice, event.reason)
+        told = Told(event.backlog, event.suspect)
+        balancer.note_refusal(self.choice, event.reason, told)
         is_gray = event.reason in {
             Refusal.upstream_failed,
             Refusal.upstream_unreachable,
--- a/packages/node/src/kumquathold_node/settings.py
+++ b/packages/node/src/kumquathold_node/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from kumquathold_core.retries import BUDGET_MAX, BUDGET_PER_REQUEST
 from kumquathold_core.wire import SECRET_MAX_BYTES, SECRET_MIN_BYTES
 
 MAX_PORT = 65535
@@ -14,6 +15,9 @@
 DEFAULT_RATE_GROUPS = 32
 DEFAULT_RATE_TERM_SECONDS = 14_400.0
 DEFAULT_QUIET_SECONDS = 3.0
+DEFAULT_HEARTBEAT_SECONDS = 0.25
+DEFAULT_EXPLORE_SHARE = 0.05
+DEFAULT_GRACE_SECONDS = 90.0
 MIN_RATE_TERM_SECONDS = 2.0
 MAX_RATE_TERM_SECONDS = 86_400.0
 
@@ -90,6 +94,33 @@
     quiet: float = DEFAULT_QUIET_SECONDS
     """Seconds that a leaving node goes on taking requests, at the least."""
 
+    service: str = ''
+    """Service of the upstreams on this VM, told where its requests go."""
+
+    health: str = ''
+    """Address that tells whether the node takes requests, empty for none."""
+
+    metrics: str = ''
+    """Address that serves counters and histograms, empty for none."""
+
+    heartbeat: float = DEFAULT_HEARTBEAT_SECONDS
+    """Seconds between heartbeats."""
+
+    far_rounds: int = 1
+    """One heartbeat in so many goes to another zone, the others stay."""
+
+    explore_share: float = DEFAULT_EXPLORE_SHARE
+    """Share of requests that go elsewhere in the region to compare."""
+
+    retry_ratio: float = BUDGET_PER_REQUEST
+    """Retries that each request earns this node."""
+
+    retry_extra: float = BUDGET_MAX
+    """Retries that this node may save up."""
+
+    grace: float = DEFAULT_GRACE_SECONDS
+    """Seconds from the signal to leave until the process must have ended."""
+
     log_level: str = 'INFO'
     """Least severe level that is logged."""
 
@@ -128,6 +159,20 @@
     return secret[:SECRET_MAX_BYTES]
 
 
+def take_secret(flag: str, text: str, path: str) -> bytes:
+    """Take a secret from a value, or else from a file."""
+    if not text:
+        return read_secret(f'{flag}-file', path)
+    secret = text.encode()
+    if len(secret) < SECRET_MIN_BYTES:
+        raise SettingsError(
+            flag,
+            '(hidden)',
+            f'{SECRET_MIN_BYTES} bytes or more',
+        )
+    return secret[:SECRET_MAX_BYTES]
+
+
 def parse_dial(given: str) -> dict[str, str]:
     """Read `PEER=ADDRESS` pairs, separated by commas."""
     addresses: dict[str, str] = {}
@@ -165,7 +210,12 @@
         '--announce': settings.announce,
         '--platform': settings.platform,
     }
-    pairs = [*addresses.items(), *(('--join', one) for one in settings.join)]
+    optional = {'--health': settings.health, '--metrics': settings.metrics}
+    pairs = [
+        *addresses.items(),
+        *((flag, given) for flag, given in optional.items() if given),
+        *(('--join', one) for one in settings.join),
+    ]
     for flag, given in pairs:
         try:
             parse_address(flag, given)
@@ -209,6 +259,12 @@
             MAX_RATE_TERM_SECONDS,
         ),
         ('--quiet', settings.quiet, 0, 60),
+        ('--heartbeat', settings.heartbeat, 0.05, 10),
+        ('--far-rounds', settings.far_rounds, 1, 100),
+        ('--explore-share', settings.explore_share, 0, 1),
+        ('--retry-ratio', settings.retry_ratio, 0, 1),
+        ('--retry-extra', settings.retry_extra, 0, 1000),
+        ('--grace', settings.grace, 1, 600),
     )
     return [
         SettingsError(flag, str(given), f'a number from {least} to {most}')
--- a/packages/node/src/kumquathold_node/settlement.py
+++ b/packages/node/src/kumquathold_node/settlement.py
@@ -10,7 +10,7 @@
 from kumquathold_core.claims import Claim, ClaimState
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import Membership
-from kumquathold_node.platform import Platform, Write
+from kumquathold_node.store import Platform, Write
 
 
 class SettlementError(Exception):
--- a/packages/node/src/kumquathold_node/transport.py
+++ b/packages/node/src/kumquathold_node/transport.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -54,6 +55,9 @@
     socket: pynng.Push0
     """Connects and reconnects by itself."""
 
+    opened_at: float
+    """Own monotonic clock, in seconds, when it was dialled."""
+
     used_at: float
     """Own monotonic clock, in seconds, of the last send."""
 
@@ -118,13 +122,20 @@
             piece = kind(request=request, offset=offset, chunk=chunk)
             self._send(receiver, piece, block=True)  # type: ignore[arg-type]
 
-    def reset(self, receiver: str) -> None:
-        """Drop the connection to a peer; the next send makes a new one."""
+    def reset(self, receiver: str, opened_before: float = math.inf) -> None:
+        """Drop the connection to a peer; the next send makes a new one.
+
+        A connection that was dialled at or after `opened_before`, on the own
+        monotonic clock, stays: what speaks against an older one says nothing
+        of it.
+        """
         with self.lock:
-            link = self.links.pop(receiver, None)
-        if link is not None:
-            self.metrics.count('peers.connections_reset')
-            link.socket.close()
+            link = self.links.get(receiver)
+            if link is None or link.opened_at >= opened_before:
+                return
+            self.links.pop(receiver)
+        self.metrics.count('peers.connections_reset')
+        link.socket.close()
 
     def last_heard(self, sender: str) -> float:
         """Own monotonic clock, in seconds, of a peer's last message."""
@@ -192,9 +203,12 @@
         self._push(receiver, frame, block=block)
 
     def _push(self, receiver: str, frame: bytes, *, block: bool) -> None:
-        link = self._link(receiver)
         try:
-            link.socket.send(frame, block=block)
+            try:
+                self._link(receiver).socket.send(frame, block=block)
+            except pynng.Closed:
+                # Another thread reset the link between look-up and use.
+                self._link(receiver).socket.send(frame, block=block)
         except (pynng.TryAgain, pynng.Timeout, pynng.Closed) as error:
             self.metrics.count('peers.not_sent')
             raise LinkFull(receiver) from error
@@ -206,7 +220,8 @@
             link = self.links.get(receiver)
             if link is None:
                 target = self.dial.get(receiver, receiver)
-                link = Link(_dial(target), monotonic())
+                now = monotonic()
+                link = Link(_dial(target), opened_at=now, used_at=now)
                 self.links[receiver] = link
             link.used_at = monotonic()
             return link
--- a/packages/node/src/kumquathold_node/upstream_calls.py
+++ b/packages/node/src/kumquathold_node/upstream_calls.py
@@ -1,12 +1,16 @@
 """Calls to upstreams over HTTP, by http.client.
 
-Requests that must not run twice never go over a connection that has idled:
-it may have gone silent, and a failed call would leave the outcome open.
+A kept connection is used again only while the upstream has said that it keeps
+it and nothing has arrived on it since its last answer. Whether requests that
+must not run twice may use one is the dialect's choice: a connection may have
+gone silent, and a failed call leaves the outcome open.
 """
 
 from __future__ import annotations
 
 import http.client
+import re
+import select
 import socket
 import threading
 from collections import deque
@@ -15,17 +19,28 @@
 import msgspec
 
 from kumquathold_core.work import Headers, Outcome, Refusal, WorkRequested
+from kumquathold_node.dialect import UpstreamDialect
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 IDLE_CONNECTION_SECONDS = 5.0
+IDLE_MARGIN_SECONDS = 1.0
 MAX_IDLE_CONNECTIONS = 8
 READ_BYTES = 262_144
 MAX_ANSWER_BYTES = 67_108_864
 CRASH_PROBE_SECONDS = 0.2
 OUTCOME_HEADER = 'Kumquathold-Outcome'
-REQUEST_HEADER = 'Kumquathold-Request'
-WORKSPACE_HEADER = 'Kumquathold-Workspace'
-DEADLINE_HEADER = 'Kumquathold-Deadline-Ms'
+PUBLIC = '-'
+PROMISES = frozenset(
+    (
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+"""Statuses by which callers take a request for not run."""
+
+KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
 HOP_BY_HOP = frozenset(
     (
         'connection',
@@ -57,6 +72,9 @@
     seconds: float
     """From the start of the call to its end."""
 
+    kept_for: str = ''
+    """What its `Keep-Alive` header says."""
+
 
 class CallFailed(Exception):
     """A call that gave no whole answer."""
@@ -67,12 +85,17 @@
         reason: Refusal,
         *,
         crashed: bool = False,
+        at_once: bool = False,
     ) -> None:
-        """Say whether the request ran, and whether the upstream crashed."""
+        """Say whether the request ran, and whether the upstream crashed.
+
+        `at_once` tells that the connection failed before any of an answer.
+        """
         super().__init__(f'{reason.value}: {outcome.value}')
         self.outcome = outcome
         self.reason = reason
         self.crashed = crashed
+        self.at_once = at_once
 
 
 class IdleConnection(msgspec.Struct, frozen=True):
@@ -81,29 +104,38 @@
     connection: http.client.HTTPConnection
     """Open, with its last answer read to the end."""
 
-    since: float
-    """Own monotonic clock, in seconds, of that moment."""
+    until: float
+    """Own monotonic clock, in seconds, up to when it may be used again."""
 
 
 class UpstreamCalls:
     """The connections to one upstream; any worker thread may use them."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        name: str = '',
+        dialect: UpstreamDialect | None = None,
+    ) -> None:
         """Connect to nothing yet."""
         self.address = address
+        self.name = name or address
+        self.dialect = dialect or UpstreamDialect()
         self.idle: deque[IdleConnection] = deque()
         self.running: dict[object, http.client.HTTPConnection] = {}
         self.lock = threading.Lock()
 
     def run(self, work: WorkRequested, body: bytes) -> UpstreamAnswer:
         """Run a request; raises `CallFailed`."""
-        spare = self._take_idle() if work.idempotent else None
+        may_reuse = work.idempotent or self.dialect.reuses_for_unsafe
+        spare = self._take_idle() if may_reuse else None
         if spare is None:
             return self._run_on(self._connect(), work, body)
         try:
             return self._run_on(spare, work, body)
         except CallFailed as failure:
-            if failure.crashed or failure.outcome != Outcome.unknown:
+            is_final = failure.crashed or failure.outcome != Outcome.unknown
+            if is_final or not work.idempotent or not failure.at_once:
                 raise
             return self._run_again(work, body, failure)
 
@@ -162,19 +194,24 @@
         return connection
 
     def _take_idle(self) -> http.client.HTTPConnection | None:
-        limit = monotonic() - IDLE_CONNECTION_SECONDS
+        now = monotonic()
         with self.lock:
             while self.idle:
                 spare = self.idle.pop()
-                if spare.since >= limit:
+                if spare.until >= now and _is_quiet(spare.connection):
                     return spare.connection
                 spare.connection.close()
         return None
 
-    def _give_back(self, connection: http.client.HTTPConnection) -> None:
+    def _give_back(
+        self,
+        connection: http.client.HTTPConnection,
+        seconds: float,
+    ) -> None:
+        spare = IdleConnection(connection, monotonic() + seconds)
         with self.lock:
             if len(self.idle) < MAX_IDLE_CONNECTIONS:
-                self.idle.append(IdleConnection(connection, monotonic()))
+                self.idle.append(spare)
                 return
         connection.close()
 
@@ -199,8 +236,9 @@
             with self.lock:
                 self.running.pop(work.request, None)
         if connection.sock is not None:
-            self._give_back(connection)
-        _refuse_if_shed(answer)
+            seconds = _kept_seconds(answer.kept_for)
+            self._give_back(connection, seconds)
+        self._check(answer, work)
         return answer
 
     def _exchange(
@@ -225,6 +263,7 @@
             if size > MAX_ANSWER_BYTES:
                 raise http.client.HTTPException('answer too large')
         _check_length(response, work.method, size)
+        self._check_echo(response, work)
         headers = end_to_end(response.getheaders())
         stated = response.getheader('Content-Length')
         if work.method == 'HEAD' and stated is not None:
@@ -234,8 +273,40 @@
             headers=headers,
             body=b''.join(chunks),
             seconds=monotonic() - started,
+            kept_for=response.getheader('Keep-Alive', ''),
         )
 
+    def _check_echo(
+        self,
+        response: http.client.HTTPResponse,
+        work: WorkRequested,
+    ) -> None:
+        """Refuse an answer that belongs to another request."""
+        if not self.dialect.passes_request_id:
+            return
+        name = self.dialect.request_id.lower()
+        sent = [text for key, text in work.headers if key.lower() == name]
+        echoed = response.getheader(name)
+        if echoed is not None and [echoed] != sent[:1]:
+            raise http.client.HTTPException('answer to another request')
+
+    def _check(self, answer: UpstreamAnswer, work: WorkRequested) -> None:
+        """Raise `CallFailed` for an answer that must not be passed on."""
+        by_name = {name.lower(): text for name, text in answer.headers}
+        said = by_name.get(self.dialect.not_run.lower())
+        expected = self.dialect.not_run_value
+        says_not_run = said is not None and (not expected or said == expected)
+        if answer.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+            raise CallFailed(Outcome.not_run, Refusal.upstream_replaced)
+        if answer.status in PROMISES and says_not_run:
+            raise CallFailed(Outcome.not_run, Refusal.upstream_shed)
+        if not self.dialect.seal:
+            return
+        is_success = answer.status < http.HTTPStatus.MULTIPLE_CHOICES
+        is_sealed = self.dialect.seal.lower() in by_name
+        if answer.status in PROMISES or (is_success and not is_sealed):
+            raise CallFailed(Outcome.unknown, Refusal.upstream_failed)
+
     def _send(
         self,
         connection: http.client.HTTPConnection,
@@ -251,14 +322,28 @@
         )
         for name, text in work.headers:
             connection.putheader(name, text.encode('latin-1'))
-        connection.putheader(REQUEST_HEADER, str(work.request))
-        connection.putheader(DEADLINE_HEADER, str(int(left * 1000)))
-        if work.workspace:
-            connection.putheader(WORKSPACE_HEADER, work.workspace)
+        for name, text in self._own_headers(work, left):
+            connection.putheader(name, text)
         if body or work.method in {'POST', 'PUT', 'PATCH'}:
             connection.putheader('Content-Length', str(len(body)))
         connection.endheaders(body or None)
 
+    def _own_headers(
+        self,
+        work: WorkRequested,
+        left: float,
+    ) -> list[tuple[str, str]]:
+        dialect = self.dialect
+        headers = [(dialect.deadline, str(int(left * 1000)))]
+        if not dialect.passes_request_id:
+            headers.append((dialect.request_id, str(work.request)))
+        is_named = work.workspace and work.workspace != PUBLIC
+        if is_named or dialect.tells_public:
+            headers.append((dialect.workspace, work.workspace))
+        if dialect.expected_instance:
+            headers.append((dialect.expected_instance, self.name))
+        return headers
+
     def _explain(self, error: Exception, work: WorkRequested) -> CallFailed:
         if isinstance(error, TimeoutError) or monotonic() >= work.deadline:
             return CallFailed(Outcome.unknown, Refusal.deadline_passed)
@@ -266,6 +351,10 @@
             Outcome.unknown,
             Refusal.upstream_failed,
             crashed=self._is_gone(),
+            at_once=isinstance(
+                error,
+                (ConnectionError, http.client.RemoteDisconnected),
+            ),
         )
 
     def _is_gone(self) -> bool:
@@ -322,8 +411,19 @@
         raise http.client.IncompleteRead(b'', int(stated) - size)
 
 
-def _refuse_if_shed(answer: UpstreamAnswer) -> None:
-    headers = {name.lower(): text for name, text in answer.headers}
-    says_not_run = headers.get(OUTCOME_HEADER.lower()) == Outcome.not_run
-    if answer.status == http.HTTPStatus.SERVICE_UNAVAILABLE and says_not_run:
-        raise CallFailed(Outcome.not_run, Refusal.upstream_shed)
+def _is_quiet(connection: http.client.HTTPConnection) -> bool:
+    """Whether nothing came on a kept connection, not even its end."""
+    if connection.sock is None:
+        return False
+    poller = select.poll()
+    poller.register(connection.sock, select.POLLIN)
+    return not poller.poll(0)
+
+
+def _kept_seconds(kept_for: str) -> float:
+    """How long a connection may idle, by its `Keep-Alive` header."""
+    match = KEEP_ALIVE_TIMEOUT.search(kept_for)
+    if match is None:
+        return IDLE_CONNECTION_SECONDS
+    promised = int(match[1]) - IDLE_MARGIN_SECONDS
+    return min(max(promised, 0.0), IDLE_CONNECTION_SECONDS)
--- a/packages/standins/src/kumquathold_standins/capacity.py
+++ b/packages/standins/src/kumquathold_standins/capacity.py
@@ -16,8 +16,9 @@
 from kumquathold_core import manifest, members
 from kumquathold_node import claims_service, freshness_service, seeds
 from kumquathold_node.configuration import POLL_SECONDS
-from kumquathold_node.membership import DEAD_PING_SECONDS, ROUND_SECONDS
+from kumquathold_node.membership import DEAD_PING_SECONDS
 from kumquathold_node.rate_election import MAX_KEEP_ALIVE_SECONDS
+from kumquathold_node.settings import DEFAULT_HEARTBEAT_SECONDS
 
 NODES = 1_300
 TARGETS = 16_000
@@ -133,7 +134,7 @@
     tables = slopes['tables']
     fleet = slopes['fleet']
     restarts = (RESTARTS_A_DAY + FAILURES_A_DAY) * RECORDS_A_RESTART
-    beats = 4 * (1 / ROUND_SECONDS + 1 / DEAD_PING_SECONDS)
+    beats = 4 * (1 / DEFAULT_HEARTBEAT_SECONDS + 1 / DEAD_PING_SECONDS)
     return [
         Figure(
             'peer',
--- a/tests/test_caller_app.py
+++ b/tests/test_caller_app.py
@@ -10,6 +10,7 @@
 
 from kumquathold_node.caller_requests import CallerAnswer
 from kumquathold_node.callers import Door, make_caller_app
+from kumquathold_node.dialect import CallerDialect
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.metrics import Metrics
 
@@ -49,7 +50,9 @@
         seen: list[Any] = []
         environ = {**ENVIRON, 'wsgi.input': io.BytesIO(b'x')}
         body = b''.join(
-            make_caller_app(kernel)(environ, lambda *args: seen.extend(args)),
+            make_caller_app(kernel, CallerDialect())(
+                environ, lambda *args: seen.extend(args)
+            ),
         )
         self.assertEqual(door.in_hand, 0)
         return seen[0], dict(seen[1]), body
--- a/tests/test_configuration_fleet.py
+++ b/tests/test_configuration_fleet.py
@@ -111,9 +111,12 @@
                 thread.start()
             for thread in threads:
                 thread.join()
-            _, text = changes.accepted_text(fleet.client)
-            for number, _ in enumerate(threads):
-                self.assertIn(f'workspace w{number} ', text)
+            fleet.wait_in_force(1 + len(threads))
+            for node in fleet.nodes:
+                version, text = changes.accepted_text(node.client)
+                self.assertEqual(version, 1 + len(threads))
+                for number, _ in enumerate(threads):
+                    self.assertIn(f'workspace w{number} ', text)
 
     def test_lost_reply_of_the_store_is_resolved_by_reading(self) -> None:
         with running_fleet(small_spec()) as fleet:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -13,18 +13,21 @@
     balancing,
     crashes,
     operator_auth,
+    placement,
     retries,
     routing,
     sharing,
     turns,
     wire,
 )
-from kumquathold_core.balancing import Candidate, Load
+from kumquathold_core.balancing import Candidate
 from kumquathold_core.identity import RequestId
 from kumquathold_core.memory import MEMORY_SECONDS, RequestMemory, State
+from kumquathold_core.placement import LoadReport, Toll
 from kumquathold_core.rules import Route, Rules, ZoneChoice
 from kumquathold_core.work import Outcome, Refusal
 
+TOLL = Toll(zone='z0', region='r0', kilobytes=2.0)
 METHODS = ('GET', 'HEAD', 'POST', '*')
 SECRET = b'a secret of the fleet'
 
@@ -85,51 +88,65 @@
                 self.assertEqual(match.route, expected, (method, path))
 
 
-class BalancingTest(unittest.TestCase):
-    """Near before far, spare before full."""
+class PlacementTest(unittest.TestCase):
+    """Near before far, spare before full, sound before suspect."""
 
-    def test_never_goes_far_while_near_has_room(self) -> None:
+    def test_never_leaves_the_zone_while_it_has_room(self) -> None:
         rng = random.Random(1)
         candidates = [
             Candidate(f'u{number}', 'o', f'z{number % 4}', f'r{number % 2}', 4)
             for number in range(16)
         ]
         for _ in range(500):
-            loads = {
-                one.upstream: Load(in_flight=rng.randint(0, 12))
+            reports = {
+                one.upstream: LoadReport(backlog=rng.randint(0, 12))
                 for one in candidates
             }
-            chosen = balancing.choose_upstream(
-                candidates,
-                loads,
-                zone='z0',
-                region='r0',
-                reach=ZoneChoice.any,
-                rng=rng,
-            )
+            chosen = self.choose(candidates, reports, rng)
             assert chosen is not None  # noqa: S101
             spare = [
                 balancing.rank_distance(one, 'z0', 'r0')
                 for one in candidates
-                if balancing.is_spare(one, loads[one.upstream])
+                if reports[one.upstream].backlog < one.slots
             ]
             distance = balancing.rank_distance(chosen, 'z0', 'r0')
+            if 0 in spare:
+                self.assertEqual(distance, 0)
+                self.assertLess(reports[chosen.upstream].backlog, 4)
+            waits = placement.expect_wait(chosen, reports[chosen.upstream], 0)
             if spare:
-                self.assertEqual(distance, min(spare))
+                # Waiting is never longer than the way to a free slot is dear.
+                dearest = TOLL.price(Candidate('far', 'o', 'z1', 'r1', 4))
+                self.assertLessEqual(waits, dearest + placement.TIE_SECONDS)
+
+    def test_suspect_upstream_is_avoided_while_the_way_is_cheaper(
+        self,
+    ) -> None:
+        near = Candidate('near', 'o', 'z0', 'r0', 4)
+        far = Candidate('far', 'o', 'z2', 'r0', 4)
+        report = LoadReport()
+        report.tell(0, 0.0, suspect=True)
+        rng = random.Random(1)
+        chosen = self.choose([near, far], {'near': report}, rng)
+        self.assertEqual(chosen, far)
+        alone = self.choose([near], {'near': report}, rng)
+        self.assertEqual(alone, near)
 
     def test_reach_is_kept(self) -> None:
         far = [Candidate('u', 'o', 'z9', 'r9', 4)]
         for reach in (ZoneChoice.zone, ZoneChoice.region):
-            chosen = balancing.choose_upstream(
-                far,
-                {},
-                zone='z0',
-                region='r0',
-                reach=reach,
-                rng=random.Random(1),
-            )
+            chosen = self.choose(far, {}, random.Random(1), reach)
             self.assertIsNone(chosen)
 
+    def choose(
+        self,
+        candidates: list[Candidate],
+        reports: dict[str, LoadReport],
+        rng: random.Random,
+        reach: ZoneChoice = ZoneChoice.any,
+    ) -> Candidate | None:
+        return placement.cheapest(candidates, reports, TOLL, reach, 0.0, rng)
+
 
 class TurnsTest(unittest.TestCase):
     """Workspaces take turns by weight, whatever queues."""
--- a/tests/test_late_messages.py
+++ b/tests/test_late_messages.py
@@ -48,6 +48,7 @@
     def test_late_request_does_not_run_after_it_was_called_not_run(
         self,
     ) -> None:
+        resets = self._count('peers.connections_reset')
         self.fleet.stall([self.ingress], [self.owner])
         answer = self._send('POST', '/open-notes', 'late-note')
         self.fleet.release()
@@ -56,7 +57,10 @@
         if answer.outcome == 'not-run':
             self.assertEqual(runs, 0, answer)
         self.assertLessEqual(runs, 1)
-        self.assertGreaterEqual(self._count('ingress.silent_paths'), 1)
+        # The held-back connection was found and replaced, and the inquiry on
+        # the new one told what became of the request.
+        self.assertGreater(self._count('peers.connections_reset'), resets)
+        self.assertNotEqual(answer.outcome, 'unknown', answer)
 
     def test_silent_connection_costs_idempotent_callers_a_retry(self) -> None:
         self.fleet.silence([self.ingress], [self.owner])
--- a/tests/test_rate_election.py
+++ b/tests/test_rate_election.py
@@ -9,7 +9,8 @@
 from kumquathold_core.identity import NodeRecord
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.metrics import Metrics
-from kumquathold_node.platform import (
+from kumquathold_node.rate_election import RateElection
+from kumquathold_node.store import (
     Lease,
     Reading,
     Stored,
@@ -17,7 +18,6 @@
     Swap,
     Write,
 )
-from kumquathold_node.rate_election import RateElection
 
 ADDRESS = '10.0.0.1:7400'
 TERM = 100.0
