Believe in gray spells of seconds; send fewer rumours across zones

Cause: upstreams are gray for about nine seconds, a quarter of them at a time; the suspicion forgot within one. Rumours were told 24 times each, tables sent whole at each difference.

Ruled out: the requests' own bytes (4.8 of 19 MB between nodes).

Change: a two-state chain, its risk told with each answer and priced against the way; trials by requests that may be repeated while a retry is left; a retry budget for each service; rumours told 8 times, tables across zones only after a long difference.

--- a/packages/core/src/kumquathold_core/admission.py
+++ b/packages/core/src/kumquathold_core/admission.py
@@ -35,8 +35,8 @@
     is_suspect: bool
     """Whether it is expected to fail its next request."""
 
-    trials: int
-    """Idempotent requests that try it now while it is suspect."""
+    is_trial_due: bool
+    """Whether an idempotent request may try it while it is suspect."""
 
 
 def expect_wait(load: UpstreamLoad) -> float:
@@ -56,7 +56,8 @@
     firm: bool,
 ) -> Refusal | None:
     """Why the request is not taken, or nothing where it is."""
-    if not firm and load.is_suspect and not (idempotent and not load.trials):
+    is_trial = idempotent and load.is_trial_due
+    if not firm and load.is_suspect and not is_trial:
         return Refusal.upstream_suspect
     wait = expect_wait(load)
     if not firm and wait > 0:
--- a/packages/core/src/kumquathold_core/members.py
+++ b/packages/core/src/kumquathold_core/members.py
@@ -17,7 +17,7 @@
 
 SUSPICION_SECONDS = 2.0
 DEAD_KEPT_SECONDS = 7200.0
-RETRANSMIT_FACTOR = 4
+RETRANSMIT_FACTOR = 1.5
 MAX_RUMOURS = 8
 
 
@@ -146,8 +146,8 @@
 
     def take_rumours(self) -> tuple[Rumour, ...]:
         """The changes that were told least often, to ride on a message."""
-        times = RETRANSMIT_FACTOR * math.ceil(
-            math.log2(len(self.members) + 1),
+        times = math.ceil(
+            RETRANSMIT_FACTOR * math.log2(len(self.members) + 1),
         )
         chosen = sorted(self.pending, key=self.pending.__getitem__)
         chosen = chosen[:MAX_RUMOURS]
--- a/packages/core/src/kumquathold_core/work.py
+++ b/packages/core/src/kumquathold_core/work.py
@@ -172,8 +172,8 @@
     backlog: int
     """Requests that ran or waited at the upstream when it answered."""
 
-    suspect: bool
-    """Whether the owner expects the upstream to fail its next request."""
+    risk: float
+    """Chance that the upstream fails its next request, as its owner sees it."""
 
     replayed: bool
     """True where the answer is the first one to a repeated request."""
@@ -212,8 +212,8 @@
     wait: float = 0.0
     """Seconds that a request would wait there for a slot, as expected."""
 
-    suspect: bool = False
-    """Whether the owner expects the upstream to fail its next request."""
+    risk: float = 0.0
+    """Chance that the upstream fails its next request, as its owner sees it."""
 
 
 class InquiryMade(msgspec.Struct, frozen=True, array_like=True, tag='inquiry'):
--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -15,7 +15,7 @@
 from kumquathold_core import balancing, placement
 from kumquathold_core.balancing import Candidate
 from kumquathold_core.ejection import Evidence, Sample
-from kumquathold_core.placement import LoadReport, Toll
+from kumquathold_core.placement import Errand, LoadReport
 from kumquathold_core.rules import Service
 from kumquathold_core.work import Refusal
 from kumquathold_node.kernel import Kernel
@@ -58,8 +58,8 @@
     backlog: int
     """Requests that run or wait there."""
 
-    suspect: bool
-    """Whether the owner expects it to fail its next request."""
+    risk: float
+    """Chance that it fails its next request, as the owner sees it."""
 
 
 class Wish(msgspec.Struct):
@@ -74,6 +74,9 @@
     idempotent: bool
     """Whether a second run does no harm."""
 
+    may_try: bool = False
+    """Whether a retry is left in case that a trial fails."""
+
     tried: set[str] = msgspec.field(default_factory=set)
     """Upstreams that it was sent to and may have reached."""
 
@@ -170,7 +173,7 @@
                 load.service_seconds + gain,
                 MIN_SERVICE_SECONDS,
             )
-            load.tell(told.backlog, now, suspect=told.suspect)
+            load.tell(told.backlog, told.risk, now)
             evidence = self._evidence(service.name)
             if counted:
                 evidence.note_latency(route, upstream, seconds)
@@ -231,7 +234,7 @@
         candidate = choice.candidate
         with self.lock:
             load = self._load(candidate.upstream)
-            load.tell(told.backlog, now, suspect=told.suspect)
+            load.tell(told.backlog, told.risk, now)
             if reason in GONE_REASONS:
                 self.shunned[candidate.upstream] = now + SHUNNED_SECONDS
             elif reason == Refusal.node_leaving:
@@ -347,17 +350,19 @@
         return placement.cheapest(
             usable,
             self.loads,
-            self._toll(wish.route),
+            self._errand(wish),
             wish.service.zones,
             now,
             self.rng,
         )
 
-    def _toll(self, route: str) -> Toll:
-        return Toll(
+    def _errand(self, wish: Wish) -> Errand:
+        return Errand(
             zone=self.zone,
             region=self.region,
-            kilobytes=self.sizes.get(route, USUAL_KILOBYTES),
+            kilobytes=self.sizes.get(wish.route, USUAL_KILOBYTES),
+            idempotent=wish.idempotent,
+            may_try=wish.idempotent and wish.may_try,
         )
 
     def _explore(
@@ -383,7 +388,7 @@
         other = placement.cheapest(
             near or others,
             self.loads,
-            self._toll(wish.route),
+            self._errand(wish),
             wish.service.zones,
             monotonic(),
             self.rng,
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -86,7 +86,9 @@
         self.balancer: Balancer = kernel.find('balancer')
         self.rates: RateDrawer = kernel.find('rate-drawer')
         self.metrics: Metrics = kernel.find('metrics')
-        self.budget = RetryBudget(settings.retry_ratio, settings.retry_extra)
+        self.retry_ratio = settings.retry_ratio
+        self.retry_extra = settings.retry_extra
+        self.budgets: dict[str, RetryBudget] = {}
         self.budget_lock = threading.Lock()
         kernel.register('ingress', self)
 
@@ -95,7 +97,7 @@
         with self.metrics.timed('ingress.admission'):
             admitted = self._admit(request)
         with self.budget_lock:
-            self.budget.earn()
+            self._budget(admitted.service.name).earn()
         return self._see_through(admitted)
 
     def _admit(self, request: CallerRequest) -> Admitted:
@@ -246,11 +248,18 @@
         if not retries.has_arrived(ended):
             return True
         with self.budget_lock:
-            is_affordable = self.budget.spend()
+            is_affordable = self._budget(admitted.service.name).spend()
         if not is_affordable:
             self.metrics.count('ingress.retry_budget_spent')
         return is_affordable
 
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self.retry_ratio, self.retry_extra)
+            self.budgets[service] = budget
+        return budget
+
     def _send_on(
         self,
         admitted: Admitted,
@@ -272,6 +281,8 @@
         progress: Progress,
     ) -> CallerAnswer | Failure:
         wish = progress.wish
+        with self.budget_lock:
+            wish.may_try = self._budget(wish.service.name).tokens >= 1
         choice = self.balancer.choose(wish)
         if choice is None:
             return Failure(Outcome.not_run, Refusal.no_upstream)
--- a/packages/node/src/kumquathold_node/jobs.py
+++ b/packages/node/src/kumquathold_node/jobs.py
@@ -97,5 +97,5 @@
             waiting=ahead,
             service_seconds=self.service_seconds,
             is_suspect=self.suspicion.is_suspect(now),
-            trials=self.suspicion.trials,
+            is_trial_due=self.suspicion.is_trial_due(now),
         )
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -32,6 +32,8 @@
 HELPERS = 3
 TABLE_RECORDS = 32
 TABLE_ASK_SECONDS = 2.0
+FAR_PATIENCE = 4
+SEEDS_ASKED = 2
 URGENT_FANOUT = 16
 NEWS_NEAR_FANOUT = 3
 URGENT_FAR_FANOUT = 3
@@ -395,13 +397,23 @@
 
     def _ask_seeds(self) -> None:
         own = self.table.rumour_of(self.table.own.address)
-        for seed in self.seeds:
+        chosen = self.rng.sample(
+            self.seeds,
+            min(SEEDS_ASKED, len(self.seeds)),
+        )
+        for seed in chosen:
             self.transport.try_send(seed, gossip.TableAsked(rumours=(own,)))
 
     def _compare_tables(self, peer: str, digest: int) -> None:
         now = monotonic()
-        is_due = now - self.table_asked_at >= TABLE_ASK_SECONDS
-        if digest == self.table.digest or not is_due:
+        if digest == self.table.digest:
+            self.table_asked_at = now
+            return
+        # Rumours usually settle a difference; a table is many of them.
+        patience = TABLE_ASK_SECONDS
+        if self.far_rounds > 1 and not self._is_near(peer):
+            patience *= FAR_PATIENCE
+        if now - self.table_asked_at < patience:
             return
         self.table_asked_at = now
         own = self.table.rumour_of(self.table.own.address)
@@ -420,6 +432,12 @@
         for peer in chosen:
             self._ping(peer, now)
 
+    def _is_near(self, peer: str) -> bool:
+        member = self.table.members.get(peer)
+        return member is not None and (
+            member.record.zone == self.table.own.zone
+        )
+
     def _urgent_peers(self) -> list[str]:
         if self.far_rounds == 1:
             peers = self.table.peers()
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -462,6 +462,15 @@
         now = monotonic()
         was_suspect = upstream.suspicion.is_suspect(now)
         upstream.suspicion.note(now, failed=failed)
+        logger.info(
+            'upstream answered',
+            request=job.work.caller_id,
+            upstream=job.work.upstream,
+            failed=failed,
+            seconds=round(now - job.started_at, 3),
+            queued=round(job.started_at - job.queued_at, 3),
+            belief=round(upstream.suspicion.belief, 3),
+        )
         if not failed:
             upstream.note_service(seconds)
         is_suspect = upstream.suspicion.is_suspect(now)
@@ -470,7 +479,7 @@
             logger.info(
                 'upstream suspected' if is_suspect else 'upstream trusted',
                 upstream=job.work.upstream,
-                log_odds=round(upstream.suspicion.log_odds, 2),
+                belief=round(upstream.suspicion.belief, 3),
                 request=job.work.caller_id,
             )
         if job.is_trial:
@@ -581,7 +590,7 @@
             service_seconds=ended.seconds,
             queued_seconds=job.started_at - job.queued_at,
             backlog=_backlog_of(upstream),
-            suspect=_is_suspect(upstream),
+            risk=_risk_of(upstream),
             replayed=replayed,
             body_bytes=len(ended.body),
             body_digest=wire.digest_body(ended.body),
@@ -608,7 +617,7 @@
         failure = msgspec.structs.replace(
             make_failure(job.request, outcome, reason, crashed=crashed),
             backlog=_backlog_of(upstream),
-            suspect=_is_suspect(upstream),
+            risk=_risk_of(upstream),
             wait=wait,
         )
         self.memory.keep_failure(failure)
@@ -660,5 +669,5 @@
     return upstream.in_use + upstream.queue.size
 
 
-def _is_suspect(upstream: Upstream | None) -> bool:
-    return upstream is not None and upstream.suspicion.is_suspect(monotonic())
+def _risk_of(upstream: Upstream | None) -> float:
+    return upstream.suspicion.risk(monotonic()) if upstream else 0.0
--- a/packages/node/src/kumquathold_node/sending.py
+++ b/packages/node/src/kumquathold_node/sending.py
@@ -320,7 +320,7 @@
             self.admitted.route.name,
             self.choice,
             seconds=answer.service_seconds,
-            told=Told(answer.backlog, answer.suspect),
+            told=Told(answer.backlog, answer.risk),
             failed=answer.status >= SERVER_ERROR,
             counted=self.counted or answer.replayed,
         )
@@ -342,7 +342,7 @@
 
     def _on_failed(self, event: work.WorkFailed) -> Failure:
         balancer = self.context.balancer
-        told = Told(event.backlog, event.suspect)
+        told = Told(event.backlog, event.risk)
         balancer.note_refusal(self.choice, event.reason, told)
         is_gray = event.reason in {
             Refusal.upstream_failed,
--- a/packages/node/src/kumquathold_node/transport.py
+++ b/packages/node/src/kumquathold_node/transport.py
@@ -200,6 +200,9 @@
             self._dispatch(envelope)
             return
         frame = wire.encode_frame(envelope, receiver, self.secret)
+        kind = type(message).__name__
+        self.metrics.count(f'peers.sent.{kind}')
+        self.metrics.count(f'peers.sent_bytes.{kind}', len(frame))
         self._push(receiver, frame, block=block)
 
     def _push(self, receiver: str, frame: bytes, *, block: bool) -> None:
@@ -212,8 +215,6 @@
         except (pynng.TryAgain, pynng.Timeout, pynng.Closed) as error:
             self.metrics.count('peers.not_sent')
             raise LinkFull(receiver) from error
-        self.metrics.count('peers.sent')
-        self.metrics.count('peers.sent_bytes', len(frame))
 
     def _link(self, receiver: str) -> Link:
         with self.lock:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -23,11 +23,11 @@
 from kumquathold_core.balancing import Candidate
 from kumquathold_core.identity import RequestId
 from kumquathold_core.memory import MEMORY_SECONDS, RequestMemory, State
-from kumquathold_core.placement import LoadReport, Toll
+from kumquathold_core.placement import Errand, LoadReport
 from kumquathold_core.rules import Route, Rules, ZoneChoice
 from kumquathold_core.work import Outcome, Refusal
 
-TOLL = Toll(zone='z0', region='r0', kilobytes=2.0)
+ERRAND = Errand(zone='z0', region='r0', kilobytes=2.0)
 METHODS = ('GET', 'HEAD', 'POST', '*')
 SECRET = b'a secret of the fleet'
 
@@ -116,7 +116,7 @@
             waits = placement.expect_wait(chosen, reports[chosen.upstream], 0)
             if spare:
                 # Waiting is never longer than the way to a free slot is dear.
-                dearest = TOLL.price(Candidate('far', 'o', 'z1', 'r1', 4))
+                dearest = ERRAND.toll(Candidate('far', 'o', 'z1', 'r1', 4))
                 self.assertLessEqual(waits, dearest + placement.TIE_SECONDS)
 
     def test_suspect_upstream_is_avoided_while_the_way_is_cheaper(
@@ -125,7 +125,7 @@
         near = Candidate('near', 'o', 'z0', 'r0', 4)
         far = Candidate('far', 'o', 'z2', 'r0', 4)
         report = LoadReport()
-        report.tell(0, 0.0, suspect=True)
+        report.tell(0, 0.9, 0.0)
         rng = random.Random(1)
         chosen = self.choose([near, far], {'near': report}, rng)
         self.assertEqual(chosen, far)
@@ -145,7 +145,7 @@
         rng: random.Random,
         reach: ZoneChoice = ZoneChoice.any,
     ) -> Candidate | None:
-        return placement.cheapest(candidates, reports, TOLL, reach, 0.0, rng)
+        return placement.cheapest(candidates, reports, ERRAND, reach, 0.0, rng)
 
 
 class TurnsTest(unittest.TestCase):
