--- a/packages/node/src/kumquathold_node/assembly.py
+++ b/packages/node/src/kumquathold_node/assembly.py
@@ -45,6 +45,7 @@
     Membership(kernel, _own_record(settings, incarnation), settings)
     ConfigurationService(kernel, edges.read_rules)
     edges.follow_configuration(kernel, settings)
+    Door(kernel)
     Exchanges(kernel)
     ClaimsService(kernel, settings)
     Owner(kernel, edges.upstream_dialect)
@@ -53,7 +54,6 @@
     RateDrawer(kernel, settings)
     Balancer(kernel, settings)
     Ingress(kernel, settings, edges.upstream_dialect)
-    Door(kernel)
     Leaving(kernel, settings)
     return kernel
 
--- a/packages/node/src/kumquathold_node/callers.py
+++ b/packages/node/src/kumquathold_node/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import threading
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
@@ -33,7 +34,8 @@
 CONNECTION_LIMIT = 4000
 IDLE_SECONDS = 60
 BACKLOG = 1024
-JOIN_SECONDS = 5.0
+JOIN_SECONDS = 0.5
+RETRY_SECONDS = 0.1
 BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 StartResponse = Callable[..., Any]
@@ -49,8 +51,19 @@
         self.in_hand = 0
         self.last_arrival = monotonic()
         self.is_leaving = False
+        self.close_at = math.inf
+        self.give_up_at = math.inf
         kernel.register('door', self)
 
+    def leave(self, close_at: float, give_up_at: float) -> None:
+        """Take requests until `close_at`, and answer all by `give_up_at`.
+
+        Both are moments of the own monotonic clock, in seconds.
+        """
+        self.close_at = close_at
+        self.give_up_at = give_up_at
+        self.is_leaving = True
+
     @contextmanager
     def passing(self) -> Iterator[None]:
         """Count a request while the block runs."""
@@ -80,7 +93,7 @@
             try:
                 request = caller_requests.read_request(environ, dialect)
                 request_id = request.id
-                answer = _answer(ingress, metrics, request, dialect)
+                answer = _answer(ingress, metrics, request, dialect, door)
                 body = caller_requests.strip_body(request, answer)
             except Refused as refused:
                 metrics.count(f'ingress.refused.{refused.reason.value}')
@@ -103,8 +116,11 @@
     metrics: Metrics,
     request: CallerRequest,
     dialect: CallerDialect,
+    door: Door,
 ) -> CallerAnswer:
     try:
+        if monotonic() >= door.close_at:
+            raise Refused(Refusal.node_leaving, retry_after=RETRY_SECONDS)
         answer = ingress.handle(request)
     except Refused as refused:
         logger.info(
@@ -233,6 +249,6 @@
     try:
         yield server
     finally:
-        server.task_dispatcher.shutdown(cancel_pending=False, timeout=1)
+        server.task_dispatcher.shutdown(cancel_pending=False, timeout=0.2)
         server.close()
         thread.join(JOIN_SECONDS)
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -9,6 +9,7 @@
 from time import monotonic
 
 import msgspec
+from loguru import logger
 
 from kumquathold_core import retries, routing, wire
 from kumquathold_core.freshness import Verdict
@@ -33,8 +34,8 @@
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.rate_drawer import (
-    TOKEN_WAIT_SECONDS,
     RateDrawer,
+    RateRefused,
     TokenWanted,
 )
 from kumquathold_node.sending import Admitted, Sending, SendingContext
@@ -44,6 +45,9 @@
 """Refusals that say: not run, another upstream may be better."""
 
 CALL_RANK = -1
+TOKEN_PATIENCE_SHARE = 0.25
+MAX_TOKEN_WAIT_SECONDS = 2.0
+TOKEN_SLACK_SECONDS = 0.5
 RETRIED_STATUSES = frozenset((500, 502, 503, 504))
 
 
@@ -109,11 +113,11 @@
         claim = '' if route.idempotent else request.idempotency_key
         if route.once and not claim:
             raise Refused(Refusal.idempotency_key_missing)
+        patience = caller_requests.deadline_of(request, route)
         if workspace is not None:
             self._check_freshness(route)
             with self.metrics.timed('ingress.token'):
-                self._take_token(workspace)
-        patience = caller_requests.deadline_of(request, route)
+                self._take_token(workspace, patience)
         service = self._draw_service(route)
         return Admitted(
             request=request,
@@ -179,17 +183,26 @@
         weights = [part.weight for part in route.split]
         return self.rng.choices(route.services, weights)[0]
 
-    def _take_token(self, workspace: Workspace) -> None:
-        if self.rates.take_at_once(workspace.name):
+    def _take_token(self, workspace: Workspace, patience: float) -> None:
+        if not workspace.rate or self.rates.take_at_once(workspace.name):
             return
-        reply: Future[Refusal | None] = Future()
-        self.rates.task.post(TokenWanted(workspace.name, reply))
+        wait = min(patience * TOKEN_PATIENCE_SHARE, MAX_TOKEN_WAIT_SECONDS)
+        reply: Future[RateRefused | None] = Future()
+        self.rates.task.post(TokenWanted(workspace.name, reply, wait))
         try:
-            refusal = reply.result(TOKEN_WAIT_SECONDS * 2)
+            refused = reply.result(wait + TOKEN_SLACK_SECONDS)
         except FutureTimeout:
-            refusal = Refusal.rate_unavailable
-        if refusal is not None:
-            raise Refused(refusal, retry_after=1)
+            refused = RateRefused(Refusal.rate_unavailable, 1.0)
+        if refused is None:
+            return
+        logger.info(
+            'token refused',
+            workspace=workspace.name,
+            reason=refused.reason.value,
+            rate=workspace.rate,
+            retry_after=round(refused.retry_after, 3),
+        )
+        raise Refused(refused.reason, retry_after=refused.retry_after)
 
     def _see_through(self, admitted: Admitted) -> CallerAnswer:
         wish = Wish(
--- a/packages/node/src/kumquathold_node/kernel.py
+++ b/packages/node/src/kumquathold_node/kernel.py
@@ -17,7 +17,7 @@
 
 from kumquathold_core.wire import Envelope
 
-STOP_SECONDS = 5.0
+STOP_SECONDS = 0.5
 
 
 class KernelError(Exception):
@@ -62,10 +62,9 @@
         """Put a message into the inbox; never waits."""
         self.inbox.put(message)
 
-    def stop(self) -> None:
-        """End after the messages that are in the inbox now."""
+    def ask_to_stop(self) -> None:
+        """Have the task end after the messages that are in its inbox now."""
         self.inbox.put(_Stop())
-        self.thread.join(STOP_SECONDS)
 
     def _run(self) -> None:
         next_tick = monotonic() + self.tick_seconds
@@ -144,7 +143,10 @@
             yield
         finally:
             for task in reversed(self.tasks):
-                task.stop()
+                task.ask_to_stop()
+            give_up_at = monotonic() + STOP_SECONDS
+            for task in self.tasks:
+                task.thread.join(max(0, give_up_at - monotonic()))
 
 
 def _do_nothing() -> None:
--- a/packages/node/src/kumquathold_node/leaving.py
+++ b/packages/node/src/kumquathold_node/leaving.py
@@ -19,11 +19,12 @@
 from kumquathold_node.rate_election import RateElection
 from kumquathold_node.settings import Settings
 
-QUIET_LIMIT_SECONDS = 20.0
 WORK_LIMIT_SECONDS = 70.0
-END_SECONDS = 0.6
+CLOSE_SHARE = 0.5
+GIVE_UP_SHARE = 0.85
+END_SHARE = 0.9
 CHECK_SECONDS = 0.05
-ANSWER_FLUSH_SECONDS = 0.3
+ANSWER_FLUSH_SECONDS = 0.15
 
 
 class Leaving:
@@ -36,7 +37,7 @@
         self.membership: Membership = kernel.find('membership')
         self.election: RateElection = kernel.find('rate-election')
         self.quiet = settings.quiet
-        self.work_limit = min(WORK_LIMIT_SECONDS, settings.grace - END_SECONDS)
+        self.grace = settings.grace
         self.begun = threading.Event()
         kernel.register('leaving', self)
 
@@ -47,28 +48,34 @@
     def wait_and_leave(self) -> None:
         """Wait until somebody asks, then see the leaving through."""
         self.begun.wait()
-        logger.info('leaving begun')
+        begun_at = monotonic()
+        logger.info('leaving begun', grace=self.grace)
         self.owner.task.post(LeavingBegun())
         self.membership.task.post(NodeLeaving())
-        self.door.is_leaving = True
-        begun_at = monotonic()
-        self._wait_for_quiet()
-        is_done = self._wait_for_work(begun_at + self.work_limit)
-        self.election.hand_back()
+        self.door.leave(
+            close_at=begun_at + self.grace * CLOSE_SHARE,
+            give_up_at=begun_at + self.grace * GIVE_UP_SHARE,
+        )
+        threading.Thread(
+            target=self.election.hand_back,
+            name='rate-hand-back',
+            daemon=True,
+        ).start()
+        end_at = begun_at + min(WORK_LIMIT_SECONDS, self.grace * END_SHARE)
+        self._wait_for_quiet(begun_at, end_at)
+        is_done = self._wait_for_work(end_at)
         sleep(ANSWER_FLUSH_SECONDS)
         logger.info('leaving done', all_finished=is_done)
 
-    def _wait_for_quiet(self) -> None:
-        started_at = monotonic()
-        limit = min(QUIET_LIMIT_SECONDS, self.work_limit)
-        while monotonic() - started_at < limit:
-            latest = max(self.door.last_arrival, started_at)
+    def _wait_for_quiet(self, begun_at: float, end_at: float) -> None:
+        while monotonic() < end_at:
+            latest = max(self.door.last_arrival, begun_at)
             if monotonic() - latest >= self.quiet:
                 return
             sleep(CHECK_SECONDS)
 
-    def _wait_for_work(self, give_up_at: float) -> bool:
-        while monotonic() < give_up_at:
+    def _wait_for_work(self, end_at: float) -> bool:
+        while monotonic() < end_at:
             if not self.door.in_hand and not self.owner.in_hand:
                 return True
             sleep(CHECK_SECONDS)
--- a/packages/node/src/kumquathold_node/main.py
+++ b/packages/node/src/kumquathold_node/main.py
@@ -145,6 +145,11 @@
         help='Seconds of quiet before leaving.',
     ),
     click.option('--log-level', default='INFO', type=click.Choice(logs.LEVELS)),
+    click.option(
+        '--rate-standing',
+        default=node_settings.DEFAULT_RATE_STANDING_SECONDS,
+        help='Seconds; see the runbook.',
+    ),
     click.option('--fleet-secret', default='', help='In place of its file.'),
     click.option('--operator-secret', default='', help='In place of its file.'),
     click.option('--service', default='', help='Service on this VM.'),
--- a/packages/node/src/kumquathold_node/rate_drawer.py
+++ b/packages/node/src/kumquathold_node/rate_drawer.py
@@ -24,24 +24,38 @@
 from kumquathold_node.transport import Transport
 
 DRAW_TICK_SECONDS = 0.05
-TOKEN_WAIT_SECONDS = 0.5
+SHORT_WAIT_SECONDS = 0.3
+RETRY_SECONDS = 1.0
 ASK_PATIENCE_SECONDS = 0.25
 SILENT_HOLDER_SECONDS = 0.5
 NOT_HOLDER_SECONDS = 0.25
-MAX_WAITING = 8
+MAX_WAITING = 32
 EMPTY_MEMORY_SECONDS = 1.0
 IDLE_ACCOUNT_SECONDS = 5.0
 
 
+class RateRefused(msgspec.Struct, frozen=True):
+    """A request got no token."""
+
+    reason: Refusal
+    """Whether the workspace is over its rate, or no holder answers."""
+
+    retry_after: float
+    """Seconds until a token may be there."""
+
+
 class TokenWanted(msgspec.Struct, frozen=True):
     """A request needs a token."""
 
     workspace: str
     """Whose token."""
 
-    reply: Future[Refusal | None]
+    reply: Future[RateRefused | None]
     """Nothing where it got one, else the reason."""
 
+    patience: float
+    """Seconds that it may wait."""
+
 
 class PurseLow(msgspec.Struct, frozen=True):
     """A workspace's tokens are nearly used up."""
@@ -66,7 +80,7 @@
 class Waiting(msgspec.Struct, eq=False):
     """A request that waits for a token."""
 
-    reply: Future[Refusal | None]
+    reply: Future[RateRefused | None]
     """Takes the outcome."""
 
     give_up_at: float
@@ -76,7 +90,15 @@
 class Account:
     """What this ingress has of one workspace's tokens."""
 
-    __slots__ = ('asks', 'blocked', 'empty_at', 'purse', 'silent', 'waiting')
+    __slots__ = (
+        'asks',
+        'blocked',
+        'empty_at',
+        'empty_until',
+        'purse',
+        'silent',
+        'waiting',
+    )
 
     def __init__(self, now: float) -> None:
         """Start with nothing."""
@@ -86,6 +108,7 @@
         self.blocked: dict[str, float] = {}
         self.silent: set[str] = set()
         self.empty_at = -math.inf
+        self.empty_until: dict[str, float] = {}
 
 
 class RateDrawer:
@@ -139,13 +162,14 @@
         with self.lock:
             account = self._account(wanted.workspace, now)
             if len(account.waiting) >= MAX_WAITING:
-                wanted.reply.set_result(Refusal.rate_exceeded)
+                wanted.reply.set_result(
+                    RateRefused(Refusal.rate_exceeded, RETRY_SECONDS),
+                )
                 return
-            waiting = Waiting(wanted.reply, now + TOKEN_WAIT_SECONDS)
+            waiting = Waiting(wanted.reply, now + wanted.patience)
             account.waiting.append(waiting)
             self._serve(account, now)
-            if account.waiting:
-                self._draw(wanted.workspace, account, now)
+            self._draw_or_refuse(wanted.workspace, account, now)
 
     def on_purse_low(self, low: PurseLow) -> None:
         """Draw ahead of the next requests."""
@@ -180,11 +204,11 @@
         elif given.is_holder:
             account.empty_at = now
             account.blocked[envelope.sender] = now + given.retry_after
+            account.empty_until[envelope.sender] = now + given.retry_after
         else:
             account.blocked[envelope.sender] = now + NOT_HOLDER_SECONDS
         self._serve(account, now)
-        if account.waiting:
-            self._draw(given.workspace, account, now)
+        self._draw_or_refuse(given.workspace, account, now)
 
     def on_tick(self) -> None:
         """Give up, give back, report and draw again."""
@@ -196,8 +220,7 @@
         for name, account in list(self.accounts.items()):
             self._serve(account, now)
             self._expire_asks(account, now)
-            if account.waiting:
-                self._draw(name, account, now)
+            self._draw_or_refuse(name, account, now)
             self._refuse_late(account, now)
             account.purse.give_back_old(now)
             for holder in account.purse.holders():
@@ -243,12 +266,40 @@
             account.blocked[holder] = now + SILENT_HOLDER_SECONDS
         account.silent.add(holder)
 
+    def _draw_or_refuse(self, name: str, account: Account, now: float) -> None:
+        """Draw for those who wait, or refuse them where all buckets are empty.
+
+        A token that comes within `SHORT_WAIT_SECONDS` is worth waiting for.
+        """
+        if not account.waiting:
+            return
+        self._draw(name, account, now)
+        holders = self._holders_of(name)
+        if account.asks or not holders:
+            return
+        soonest = min(account.empty_until.get(one, 0.0) for one in holders)
+        if soonest - now <= SHORT_WAIT_SECONDS:
+            return
+        while account.waiting:
+            waiting = account.waiting.popleft()
+            waiting.reply.set_result(
+                RateRefused(Refusal.rate_exceeded, soonest - now),
+            )
+
+    def _holders_of(self, name: str) -> list[str]:
+        group = buckets.group_of(name, self.settings.rate_groups)
+        holders = self.membership.view.holders
+        found = (holders.get((region, group)) for region in self.regions)
+        return [holder for holder in found if holder]
+
     def _refuse_late(self, account: Account, now: float) -> None:
         while account.waiting and account.waiting[0].give_up_at <= now:
             is_empty = now - account.empty_at <= EMPTY_MEMORY_SECONDS
-            account.waiting.popleft().reply.set_result(
-                Refusal.rate_exceeded if is_empty else Refusal.rate_unavailable,
-            )
+            reason = Refusal.rate_unavailable
+            if is_empty:
+                reason = Refusal.rate_exceeded
+            waiting = account.waiting.popleft()
+            waiting.reply.set_result(RateRefused(reason, RETRY_SECONDS))
 
     def _draw(self, name: str, account: Account, now: float) -> None:
         if any(not ask.is_late for ask in account.asks.values()):
@@ -275,11 +326,8 @@
         account: Account,
         now: float,
     ) -> str | None:
-        group = buckets.group_of(name, self.settings.rate_groups)
-        holders = self.membership.view.holders
-        for region in self.regions:
-            holder = holders.get((region, group))
-            if holder and account.blocked.get(holder, 0) <= now:
+        for holder in self._holders_of(name):
+            if account.blocked.get(holder, 0) <= now:
                 return holder
         return None
 
--- a/packages/node/src/kumquathold_node/rate_election.py
+++ b/packages/node/src/kumquathold_node/rate_election.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from kumquathold_core import buckets, members, platform_keys
+from kumquathold_node.clock import boot_time
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import GroupsHeld, Membership
 from kumquathold_node.metrics import Metrics
@@ -24,10 +25,12 @@
 from kumquathold_node.transport import Transport
 
 ELECTION_SECONDS = 0.5
-READ_AGAIN_SECONDS = 2.0
+READ_AGAIN_SECONDS = 1.0
 KEEP_ALIVES_PER_TERM = 6
 MAX_KEEP_ALIVE_SECONDS = 60.0
-WRITES_PER_SWAP = 48
+WRITES_PER_SWAP = 16
+EXTENSION_SECONDS = 1.5
+PAUSE_SECONDS = 1.0
 STOP_SECONDS = 2.0
 
 
@@ -64,6 +67,9 @@
         self.lease: Lease | None = None
         self.valid_until = 0.0
         self.kept_alive_at = 0.0
+        self.looked_at = boot_time()
+        self.paused_at = 0.0
+        self.has_reclaimed = False
         self.read_at = -READ_AGAIN_SECONDS
         self.ready_at: dict[int, float] = {}
         self.is_stopping = False
@@ -86,6 +92,7 @@
         except PlatformError as error:
             self.metrics.count('rates.store_unavailable')
             logger.debug('rate election waits', cause=str(error))
+        self._extend()
 
     def hand_back(self) -> None:
         """Stop granting, then free the groups for other nodes."""
@@ -102,7 +109,7 @@
     def _keep_alive(self) -> None:
         if self.lease is None:
             return
-        now = monotonic()
+        now = boot_time()
         interval = min(
             self.settings.rate_term / KEEP_ALIVES_PER_TERM,
             MAX_KEEP_ALIVE_SECONDS,
@@ -111,19 +118,50 @@
             return
         kept = self.platform.keep_alive(self.lease.id)
         if kept.seconds <= 0:
-            self._lose_lease()
+            self._retake()
             return
         self.kept_alive_at = now
-        self.valid_until = now + kept.seconds
-        self._publish()
 
-    def _lose_lease(self) -> None:
-        logger.warning('rate lease ended', groups=len(self.ready_at))
+    def _retake(self) -> None:
+        """Take the same groups by a new lease where nobody else has.
+
+        The lease ended while the store was away or the node was cut off from
+        it. Others leave the groups of a node that they hear to that node, so
+        its buckets go on.
+        """
+        groups = self.ready_at
         self.metrics.count('rates.lease_lost')
+        logger.warning('rate lease ended', groups=sorted(groups))
         self.lease = None
         self.ready_at = {}
+        kept = self._take(sorted(groups)) if groups else []
+        self.ready_at.update({group: groups[group] for group in kept})
+        self._publish()
+
+    def _extend(self) -> None:
+        """Let the holder grant on, unless the lease may be another's now.
+
+        While the store does not answer this node, the groups stay its own: a
+        node that is heard keeps them. After a pause the first answer of the
+        store decides.
+        """
+        since = boot_time() - self.kept_alive_at
+        has_paused = since > self.settings.rate_term and self._was_paused()
+        is_standing = since < self.settings.rate_standing and not has_paused
+        if not self.ready_at or not is_standing:
+            return
+        self.valid_until = monotonic() + EXTENSION_SECONDS
         self._publish()
 
+    def _was_paused(self) -> bool:
+        """Whether this process stood still since the last look."""
+        now = boot_time()
+        gap = now - self.looked_at
+        self.looked_at = now
+        if gap > PAUSE_SECONDS:
+            self.paused_at = now
+        return self.paused_at > self.kept_alive_at
+
     def _take_free_groups(self) -> None:
         now = monotonic()
         if now - self.read_at < READ_AGAIN_SECONDS:
@@ -132,20 +170,29 @@
         if not wanted:
             return
         self.read_at = now
-        prefix = platform_keys.rate_prefix(self.settings.region)
-        stored = self.platform.read_prefix(prefix).found
-        by_key = {one.key: one for one in stored}
-        writes = [
-            self._make_write(group, by_key)
-            for group in wanted
-            if self._is_free(group, by_key)
-        ]
-        for start in range(0, len(writes), WRITES_PER_SWAP):
-            self._take(writes[start : start + WRITES_PER_SWAP])
+        taken = self._take(wanted)
+        ready_at = monotonic() + buckets.GRANT_SECONDS
+        self.ready_at.update(dict.fromkeys(taken, ready_at))
+        if taken:
+            self._publish()
+            logger.info('rate groups held', groups=sorted(self.ready_at))
 
     def _preferred_free_groups(self) -> list[int]:
+        """Groups without a living holder that this node is first to take.
+
+        A node that restarts is first for what its last process held, but
+        cannot know it; so it tries all groups once after its start.
+        """
         view = self.membership.view
         region = self.settings.region
+        free = [
+            group
+            for group in range(self.settings.rate_groups)
+            if (region, group) not in view.holders
+            and group not in self.ready_at
+        ]
+        if not self.has_reclaimed:
+            return free
         nodes = [
             node
             for node in view.nodes
@@ -153,13 +200,30 @@
         ]
         return [
             group
-            for group in range(self.settings.rate_groups)
-            if (region, group) not in view.holders
-            and group not in self.ready_at
-            and members.rank_nodes(nodes, f'group {group}')[0].address
+            for group in free
+            if members.rank_nodes(nodes, f'group {group}')[0].address
             == self.settings.peer
         ]
 
+    def _take(self, groups: list[int]) -> list[int]:
+        """Write the own record for groups; give those that are held now."""
+        prefix = platform_keys.rate_prefix(self.settings.region)
+        found = self.platform.read_prefix(prefix).found
+        stored = {one.key: one for one in found}
+        if not self.has_reclaimed:
+            groups = [one for one in groups if self._key(one) in stored]
+        free = [one for one in groups if self._is_free(one, stored)]
+        taken: list[int] = []
+        for start in range(0, len(free), WRITES_PER_SWAP):
+            part = free[start : start + WRITES_PER_SWAP]
+            writes = [self._make_write(group, stored) for group in part]
+            if self.platform.swap(writes).succeeded:
+                taken.extend(part)
+            else:
+                self.metrics.count('rates.election_lost')
+        self.has_reclaimed = True
+        return taken
+
     def _is_free(self, group: int, stored: dict[str, Stored]) -> bool:
         found = stored.get(self._key(group))
         if found is None:
@@ -174,9 +238,7 @@
             return False
         # Binding the address proves that an earlier process is gone; a record
         # of this process was written by a swap whose reply was lost.
-        is_same_address = record.address == self.settings.peer
-        is_later = record.incarnation > self.transport.incarnation
-        return is_same_address and not is_later
+        return record.address == self.settings.peer
 
     def _make_write(self, group: int, stored: dict[str, Stored]) -> Write:
         found = stored.get(self._key(group))
@@ -194,23 +256,13 @@
 
     def _own_lease(self) -> Lease:
         if self.lease is None:
-            asked_at = monotonic()
+            asked_at = boot_time()
             self.lease = self.platform.grant_lease(self.settings.rate_term)
             self.kept_alive_at = asked_at
-            self.valid_until = asked_at + self.lease.seconds
+            self.looked_at = asked_at
+            self.valid_until = monotonic() + EXTENSION_SECONDS
         return self.lease
 
-    def _take(self, writes: list[Write]) -> None:
-        swap = self.platform.swap(writes)
-        if not swap.succeeded:
-            self.metrics.count('rates.election_lost')
-            return
-        ready_at = monotonic() + buckets.GRANT_SECONDS
-        for write in writes:
-            self.ready_at[self._group_of(write.key)] = ready_at
-        self._publish()
-        logger.info('rate groups held', groups=len(self.ready_at))
-
     def _publish(self) -> None:
         changed = GroupsChanged(
             dict(self.ready_at),
@@ -225,6 +277,3 @@
 
     def _key(self, group: int) -> str:
         return platform_keys.rate_key(self.settings.region, group)
-
-    def _group_of(self, key: str) -> int:
-        return int(key.rpartition('/')[2])
--- a/packages/node/src/kumquathold_node/sending.py
+++ b/packages/node/src/kumquathold_node/sending.py
@@ -79,6 +79,7 @@
 
     __slots__ = (
         'balancer',
+        'door',
         'exchanges',
         'membership',
         'metrics',
@@ -89,6 +90,7 @@
     def __init__(self, kernel: Kernel) -> None:
         """Find the services."""
         self.transport: Transport = kernel.find('transport')
+        self.door = kernel.find('door')
         self.membership: Membership = kernel.find('membership')
         self.exchanges: Exchanges = kernel.find('exchanges')
         self.balancer: Balancer = kernel.find('balancer')
@@ -232,7 +234,8 @@
             hearing = min(hearing * 2, MAX_HEARING_SECONDS)
 
     def _patience(self, hearing: float) -> float:
-        left = self.admitted.deadline - monotonic()
+        end = min(self.admitted.deadline, self.context.door.give_up_at)
+        left = end - monotonic()
         slow_in = self.started_at + self.choice.slow_limit - monotonic()
         patience = min(hearing, left, GONE_CHECK_SECONDS)
         if not self.counted and slow_in > 0:
@@ -258,6 +261,8 @@
             )
         if now >= admitted.deadline:
             return self._stop(mailbox, Refusal.deadline_passed)
+        if now >= self.context.door.give_up_at:
+            return self._stop(mailbox, Refusal.node_leaving)
         if admitted.request.has_gone() and not admitted.claim:
             return self._stop(mailbox, Refusal.cancelled)
         if now - max(self.started_at, self.heard_at) < hearing:
--- a/packages/node/src/kumquathold_node/settings.py
+++ b/packages/node/src/kumquathold_node/settings.py
@@ -14,6 +14,7 @@
 DEFAULT_THREADS = 64
 DEFAULT_RATE_GROUPS = 32
 DEFAULT_RATE_TERM_SECONDS = 14_400.0
+DEFAULT_RATE_STANDING_SECONDS = 14_400.0
 DEFAULT_QUIET_SECONDS = 3.0
 DEFAULT_HEARTBEAT_SECONDS = 0.25
 DEFAULT_EXPLORE_SHARE = 0.05
@@ -91,6 +92,9 @@
     rate_term: float = DEFAULT_RATE_TERM_SECONDS
     """Seconds that a holder keeps its groups without the platform."""
 
+    rate_standing: float = DEFAULT_RATE_STANDING_SECONDS
+    """Seconds that a holder grants on while the platform is unreachable."""
+
     quiet: float = DEFAULT_QUIET_SECONDS
     """Seconds that a leaving node goes on taking requests, at the least."""
 
@@ -258,6 +262,7 @@
             MIN_RATE_TERM_SECONDS,
             MAX_RATE_TERM_SECONDS,
         ),
+        ('--rate-standing', settings.rate_standing, 1, MAX_RATE_TERM_SECONDS),
         ('--quiet', settings.quiet, 0, 60),
         ('--heartbeat', settings.heartbeat, 0.05, 10),
         ('--far-rounds', settings.far_rounds, 1, 100),
