Price upstreams by the objective; serve first what can still be in time

Change: prices in shares of a request's worth, soft tries in the own zone only; requests that can meet their objective go first; retry budgets are the fleet's; a line for each placement and outcome; a leaving node stops listening first.

--- a/packages/core/src/kumquathold_core/admission.py
+++ b/packages/core/src/kumquathold_core/admission.py
@@ -32,8 +32,8 @@
     service_seconds: float
     """Smoothed time of a request."""
 
-    is_suspect: bool
-    """Whether it is expected to fail its next request."""
+    risk: float
+    """Chance that it fails its next request."""
 
     is_trial_due: bool
     """Whether an idempotent request may try it while it is suspect."""
@@ -53,14 +53,19 @@
     *,
     seconds_left: float,
     idempotent: bool,
-    firm: bool,
+    max_wait: float,
+    max_risk: float,
 ) -> Refusal | None:
-    """Why the request is not taken, or nothing where it is."""
+    """Why the request is not taken, or nothing where it is.
+
+    `max_wait` and `max_risk` are what its ingress puts up with here, as it
+    may do better elsewhere.
+    """
     is_trial = idempotent and load.is_trial_due
-    if not firm and load.is_suspect and not is_trial:
+    if load.risk > max_risk and not is_trial:
         return Refusal.upstream_suspect
     wait = expect_wait(load)
-    if not firm and wait > 0:
+    if wait > max_wait:
         return Refusal.upstream_busy
     if wait + load.service_seconds / 2 > seconds_left:
         return Refusal.overloaded
--- a/packages/core/src/kumquathold_core/buckets.py
+++ b/packages/core/src/kumquathold_core/buckets.py
@@ -21,7 +21,7 @@
 from kumquathold_core.rules import Workspace
 from kumquathold_core.sharing import LotReport
 
-GRANT_SECONDS = 1.0
+GRANT_SECONDS = 0.5
 MIN_RETRY_SECONDS = 0.01
 
 
--- a/packages/core/src/kumquathold_core/placement.py
+++ b/packages/core/src/kumquathold_core/placement.py
@@ -1,12 +1,18 @@
 """Orders the upstreams that one request may go to, cheapest first.
 
 Pure: the time is passed in. The load that this answers: a few upstreams of a
-zone are shared by several ingresses, bytes that leave the zone are dear, and
-gray spells last for seconds. Each upstream is priced in seconds: the wait for
-a slot as its owner last told it, less what has been served since; a toll for
-the bytes that leave the zone or the region; and the risk that it fails the
-request, as its owner told it, relaxed since. The owner corrects a wrong price
-at once by refusing, and the request is priced anew.
+zone are shared by several ingresses, bytes that leave the zone are billed, and
+gray spells last for seconds. Each upstream is priced in shares of what the
+request is worth to its caller:
+
+- waiting costs little while the answer still meets the route's objective, and
+  most of the worth beyond it; the wait is the backlog that the upstream's
+  owner last told, less what has been served since;
+- a failure costs all of it, less where the request can be repeated;
+- each kilobyte that leaves the zone or the region has a toll.
+
+An owner corrects a wrong price by refusing at once, and the request is priced
+anew.
 """
 
 from __future__ import annotations
@@ -19,13 +25,17 @@
 from kumquathold_core.balancing import Candidate, rank_distance
 from kumquathold_core.rules import ZoneChoice
 
-FAILURE_SECONDS = 3.0
-REPEATABLE_FAILURE_SECONDS = 0.8
-TRIAL_BONUS_SECONDS = 0.04
-TOLL_SECONDS_PER_KILOBYTE = (0.0, 0.08, 0.2)
-TOLL_BASE_SECONDS = (0.0, 0.05, 0.1)
+FAILURE_PRICE = 1.2
+REPEATABLE_FAILURE_PRICE = 0.4
+TRIAL_BONUS = 0.02
+LATE_PRICE = 0.8
+IN_TIME_PRICE = 0.08
+SAFE_SHARE_OF_OBJECTIVE = 0.7
+TOLL_PER_KILOBYTE = (0.0, 0.04, 0.08)
+TOLL_BASE = (0.0, 0.05, 0.08)
 USUAL_SECONDS = 0.3
-TIE_SECONDS = 0.02
+DEFAULT_OBJECTIVE_SECONDS = 1.0
+TIE_PRICE = 0.02
 REACH = {ZoneChoice.zone: 0, ZoneChoice.region: 1, ZoneChoice.any: 2}
 
 
@@ -70,6 +80,9 @@
     kilobytes: float
     """Size of the request and its answer, as expected."""
 
+    objective: float = DEFAULT_OBJECTIVE_SECONDS
+    """Seconds within which the answer is worth most."""
+
     idempotent: bool = False
     """Whether a second run does no harm."""
 
@@ -77,20 +90,33 @@
     """Whether there is a retry left in case that a trial fails."""
 
     def toll(self, candidate: Candidate) -> float:
-        """Seconds of waiting that are as dear as the way."""
+        """What the way costs."""
         distance = rank_distance(candidate, self.zone, self.region)
-        by_size = TOLL_SECONDS_PER_KILOBYTE[distance] * self.kilobytes
-        return TOLL_BASE_SECONDS[distance] + by_size
+        by_size = TOLL_PER_KILOBYTE[distance] * self.kilobytes
+        return TOLL_BASE[distance] + by_size
+
+    def delay(self, seconds: float) -> float:
+        """What it costs to be answered after so many seconds."""
+        share = seconds / max(self.objective, suspicion.TRIAL_SECONDS / 2)
+        lateness = (share - SAFE_SHARE_OF_OBJECTIVE) / SAFE_SHARE_OF_OBJECTIVE
+        return IN_TIME_PRICE * share + LATE_PRICE * min(max(lateness, 0), 1)
 
 
-def expect_wait(candidate: Candidate, report: LoadReport, now: float) -> float:
-    """Seconds until the upstream has a slot, as far as known."""
+def expect_backlog(
+    candidate: Candidate,
+    report: LoadReport,
+    now: float,
+) -> float:
+    """Requests at the upstream, as far as known."""
     pace = candidate.slots / report.service_seconds
     served = max(0, now - report.told_at) * pace
-    backlog = max(report.backlog - served, report.in_flight)
+    return max(report.backlog - served, report.in_flight)
+
+
+def expect_wait(candidate: Candidate, backlog: float, seconds: float) -> float:
+    """Seconds until an upstream with this backlog has a free slot."""
     waiting = max(0, backlog - candidate.slots + 1)
-    tie = TIE_SECONDS * backlog / candidate.slots
-    return waiting / pace + tie
+    return waiting * seconds / candidate.slots
 
 
 def price(
@@ -98,21 +124,29 @@
     report: LoadReport,
     errand: Errand,
     now: float,
+    least_backlog: float = 0.0,
 ) -> float:
-    """What sending a request there costs, in seconds of waiting.
+    """What sending a request there costs.
 
-    A request that may be repeated loses less by a failure, so that such
-    requests are the ones that try an upstream of which little is known.
+    `least_backlog` stands in where little is known. A request that may be
+    repeated loses less by a failure, so that such requests are the ones that
+    try an upstream that failed lately.
     """
-    wait = expect_wait(candidate, report, now)
-    failure = FAILURE_SECONDS
-    if errand.idempotent:
-        failure = REPEATABLE_FAILURE_SECONDS
     risk = report.risk_at(now)
     is_stale = now - report.told_at >= suspicion.TRIAL_SECONDS
     if errand.may_try and risk > suspicion.SUSPECT_RISK and is_stale:
-        return errand.toll(candidate) - TRIAL_BONUS_SECONDS
-    return wait + errand.toll(candidate) + risk * failure
+        return errand.toll(candidate) - TRIAL_BONUS
+    backlog = expect_backlog(candidate, report, now)
+    if is_stale:
+        backlog = max(backlog, least_backlog)
+    seconds = report.service_seconds
+    wait = expect_wait(candidate, backlog, seconds)
+    failure = FAILURE_PRICE
+    if errand.idempotent:
+        failure = REPEATABLE_FAILURE_PRICE
+    tie = TIE_PRICE * min(backlog / candidate.slots, 1)
+    delay = errand.delay(wait + seconds) - errand.delay(seconds)
+    return delay + errand.toll(candidate) + risk * failure + tie
 
 
 def cheapest(
@@ -123,19 +157,28 @@
     now: float,
     rng: random.Random,
 ) -> Candidate | None:
-    """The upstream with the lowest price within reach, ties at random."""
+    """The upstream with the lowest price within reach, ties at random.
+
+    Of upstreams beyond the own zone little is known; they are taken to be as
+    busy as the least busy one of the zone.
+    """
+    unknown = LoadReport()
+    near = [
+        expect_backlog(one, reports.get(one.upstream, unknown), now)
+        for one in candidates
+        if one.zone == errand.zone
+    ]
+    usual = min(near, default=0.0)
     within = [
         one
         for one in candidates
         if rank_distance(one, errand.zone, errand.region) <= REACH[reach]
     ]
-    if not within:
-        return None
-    unknown = LoadReport()
-    return min(
-        within,
-        key=lambda one: (
-            price(one, reports.get(one.upstream, unknown), errand, now)
-            + TIE_SECONDS * rng.random()
-        ),
-    )
+
+    def weigh(one: Candidate) -> float:
+        report = reports.get(one.upstream, unknown)
+        least = 0.0 if one.zone == errand.zone else usual
+        priced = price(one, report, errand, now, least)
+        return priced + TIE_PRICE * rng.random()
+
+    return min(within, key=weigh, default=None)
--- a/packages/core/src/kumquathold_core/retries.py
+++ b/packages/core/src/kumquathold_core/retries.py
@@ -13,7 +13,9 @@
 from kumquathold_core.work import Outcome, Refusal
 
 BUDGET_PER_REQUEST = 0.1
-BUDGET_MAX = 10.0
+BUDGET_EXTRA = 20.0
+BUDGET_WINDOW_SECONDS = 10.0
+SAVED_SHARE = 0.5
 MAX_ATTEMPTS = 4
 MAX_SENDINGS = 8
 
@@ -50,23 +52,37 @@
 
 
 class RetryBudget:
-    """Tokens for retries, earned by first sendings."""
+    """One node's part of the retries that the fleet may make of a service.
 
-    __slots__ = ('most', 'ratio', 'tokens')
+    The fleet may make a share of the requests plus a fixed number in each
+    window. A node earns that share by its own requests, keeps half of its
+    part of the fixed number as what it may save up, and earns the rest of it
+    evenly over the window, so that no window sees more than both.
+    """
 
-    def __init__(
-        self,
-        ratio: float = BUDGET_PER_REQUEST,
-        most: float = BUDGET_MAX,
-    ) -> None:
-        """Earn `ratio` of a retry a request, and start with `most`."""
-        self.ratio = ratio
-        self.most = most
-        self.tokens = most
+    __slots__ = ('earned_at', 'most', 'ratio', 'refill', 'tokens')
 
-    def earn(self) -> None:
+    def __init__(self, ratio: float = BUDGET_PER_REQUEST) -> None:
+        """Earn `ratio` of a retry a request."""
+        self.ratio = ratio
+        self.most = 0.0
+        self.refill = 0.0
+        self.tokens = -1.0
+        self.earned_at = 0.0
+
+    def share(self, extra: float, window: float) -> None:
+        """Take this node's part of the fixed number for a window."""
+        self.most = max(1.0, extra * SAVED_SHARE)
+        self.refill = extra * (1 - SAVED_SHARE) / window
+        if self.tokens < 0:
+            self.tokens = min(self.most, extra * SAVED_SHARE)
+
+    def earn(self, now: float) -> None:
         """Count a first sending."""
-        self.tokens = min(self.tokens + self.ratio, self.most)
+        elapsed = now - self.earned_at if self.earned_at else 0.0
+        self.earned_at = now
+        earned = self.ratio + elapsed * self.refill
+        self.tokens = min(self.tokens + earned, self.most)
 
     def spend(self) -> bool:
         """Take a retry out of the budget; false where it is spent."""
--- a/packages/core/src/kumquathold_core/turns.py
+++ b/packages/core/src/kumquathold_core/turns.py
@@ -7,13 +7,32 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import Generic, TypeVar
 
+import msgspec
+
 Item = TypeVar('Item')
 
 MAX_WAITING = 256
 
 
+class Place(msgspec.Struct, frozen=True):
+    """Where a request stands among those that wait."""
+
+    rank: int
+    """Lower goes first."""
+
+    workspace: str
+    """Workspaces of one rank take turns."""
+
+    weight: int
+    """Requests that the workspace gets in one turn."""
+
+    due_at: float
+    """When its answer becomes late, on the owner's clock in seconds."""
+
+
 class TurnQueue(Generic[Item]):
     """Waiting requests, one line for each workspace."""
 
@@ -99,16 +118,10 @@
             queue.size for other, queue in self.ranks.items() if other <= rank
         )
 
-    def push(
-        self,
-        rank: int,
-        workspace: str,
-        weight: int,
-        waiting: Item,
-    ) -> bool:
+    def push(self, place: Place, waiting: Item) -> bool:
         """Add a request; false where the queue of its rank is full."""
-        queue = self.ranks.setdefault(rank, TurnQueue())
-        return queue.push(workspace, weight, waiting)
+        queue = self.ranks.setdefault(place.rank, TurnQueue())
+        return queue.push(place.workspace, place.weight, waiting)
 
     def pop(self) -> Item | None:
         """Take the request whose turn it is, of the first rank that waits."""
@@ -118,16 +131,69 @@
                 return waiting
         return None
 
-    def remove(self, rank: int, workspace: str, waiting: Item) -> bool:
+    def remove(self, place: Place, waiting: Item) -> bool:
         """Take a request out, wherever it stands."""
-        queue = self.ranks.get(rank)
-        return queue is not None and queue.remove(workspace, waiting)
+        queue = self.ranks.get(place.rank)
+        return queue is not None and queue.remove(place.workspace, waiting)
+
+    def items(self) -> list[Item]:
+        """All waiting requests."""
+        return [
+            waiting
+            for queue in self.ranks.values()
+            for line in queue.lines.values()
+            for waiting in line
+        ]
+
+
+class DueQueue(Generic[Item]):
+    """Waiting requests, those first that can still be answered in time.
+
+    The load that this answers: more requests than slots. In the order of
+    arrival each would wait until its answer is late, and late answers are
+    worth little. A request that can no longer meet its objective gives way to
+    those that can, and is served when none of them waits.
+    """
+
+    __slots__ = ('late', 'place_of', 'punctual')
+
+    def __init__(self, place_of: Callable[[Item], Place]) -> None:
+        """Take the function that tells where a request belongs."""
+        self.place_of = place_of
+        self.punctual: RankedQueue[Item] = RankedQueue()
+        self.late: RankedQueue[Item] = RankedQueue()
 
-    def drain(self) -> list[Item]:
-        """Take all requests out."""
-        waiting: list[Item] = []
+    @property
+    def size(self) -> int:
+        """All waiting requests."""
+        return self.punctual.size + self.late.size
+
+    def ahead_of(self, rank: int) -> int:
+        """Requests that a new one of this rank would wait behind."""
+        return self.punctual.ahead_of(rank)
+
+    def push(self, waiting: Item) -> bool:
+        """Add a request; false where the queue of its rank is full."""
+        return self.punctual.push(self.place_of(waiting), waiting)
+
+    def pop(self, end_at: float) -> Item | None:
+        """Take the next request, which would be answered at `end_at`."""
         while True:
-            item = self.pop()
-            if item is None:
+            waiting = self.punctual.pop()
+            if waiting is None:
+                return self.late.pop()
+            place = self.place_of(waiting)
+            if place.due_at >= end_at or not self.late.push(place, waiting):
                 return waiting
-            waiting.append(item)
+
+    def remove(self, waiting: Item) -> bool:
+        """Take a request out, wherever it stands."""
+        place = self.place_of(waiting)
+        return self.punctual.remove(place, waiting) or self.late.remove(
+            place,
+            waiting,
+        )
+
+    def items(self) -> list[Item]:
+        """All waiting requests."""
+        return [*self.punctual.items(), *self.late.items()]
--- a/packages/core/src/kumquathold_core/work.py
+++ b/packages/core/src/kumquathold_core/work.py
@@ -117,8 +117,14 @@
     rank: int
     """Place among waiting requests; lower goes first."""
 
-    firm: bool
-    """Whether to wait here even where the upstream is busy or suspect."""
+    due_at: float
+    """When its answer becomes late, on the owner's monotonic clock."""
+
+    max_wait: float
+    """Seconds for a slot above which the owner is to send it on."""
+
+    max_risk: float
+    """Risk of a failure above which the owner is to send it on."""
 
     body_bytes: int
     """Length of the whole body."""
--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -6,17 +6,20 @@
 
 from __future__ import annotations
 
+import math
 import random
 import threading
 from time import monotonic
 
 import msgspec
+from loguru import logger
 
 from kumquathold_core import balancing, placement
-from kumquathold_core.balancing import Candidate
+from kumquathold_core.balancing import Candidate, rank_distance
 from kumquathold_core.ejection import Evidence, Sample
 from kumquathold_core.placement import Errand, LoadReport
 from kumquathold_core.rules import Service
+from kumquathold_core.suspicion import SUSPECT_RISK
 from kumquathold_core.work import Refusal
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import FleetView, Membership
@@ -30,6 +33,8 @@
 MIN_SERVICE_SECONDS = 0.001
 USUAL_KILOBYTES = 2.0
 MAX_SENT_ON = 5
+MAX_AGE_SECONDS = 1e6
+DISTANCES = ('zone', 'region', 'beyond')
 GONE_REASONS = frozenset(
     (Refusal.upstream_leaving, Refusal.upstream_replaced),
 )
@@ -45,8 +50,11 @@
     is_trial: bool
     """Whether it is ejected, and the request tries it."""
 
-    is_firm: bool
-    """Whether to wait there even where it is busy or suspect."""
+    max_wait: float
+    """Seconds for a slot above which its owner is to send the request on."""
+
+    max_risk: float
+    """Risk of a failure above which its owner is to send it on."""
 
     slow_limit: float
     """Seconds above which its answer counts as bad."""
@@ -74,6 +82,12 @@
     idempotent: bool
     """Whether a second run does no harm."""
 
+    caller_id: str
+    """The caller's own id of the request, for logs."""
+
+    objective: float
+    """Seconds within which the answer is worth most."""
+
     may_try: bool = False
     """Whether a retry is left in case that a trial fails."""
 
@@ -138,10 +152,26 @@
             if chosen.upstream != trial and not wish.refused_by:
                 chosen = self._explore(evidence, chosen, usable, wish)
             self._load(chosen.upstream).in_flight += 1
+            distance = rank_distance(chosen, self.zone, self.region)
+            self.metrics.count(f'ingress.sent.{DISTANCES[distance]}')
+            load = self._load(chosen.upstream)
+            logger.info(
+                'request placed',
+                request=wish.caller_id,
+                upstream=chosen.upstream,
+                distance=DISTANCES[distance],
+                backlog=load.backlog,
+                risk=round(load.risk_at(now), 3),
+                age=round(min(now - load.told_at, MAX_AGE_SECONDS), 3),
+                sent_on=len(wish.refused_by),
+                trial=chosen.upstream in out,
+                choices=len(usable),
+            )
             return Choice(
                 candidate=chosen,
                 is_trial=chosen.upstream in out,
-                is_firm=_is_firm(chosen, usable, wish),
+                max_wait=self._max_wait(chosen, usable, wish),
+                max_risk=_max_risk(chosen, usable, wish),
                 slow_limit=evidence.slow_limit(wish.route, chosen.upstream),
             )
 
@@ -356,11 +386,23 @@
             self.rng,
         )
 
+    def _max_wait(
+        self,
+        chosen: Candidate,
+        usable: list[Candidate],
+        wish: Wish,
+    ) -> float:
+        """Nothing in the own zone, where sending on costs next to nothing."""
+        if _is_firm(chosen, usable, wish):
+            return math.inf
+        return 0.0 if chosen.zone == self.zone else wish.objective
+
     def _errand(self, wish: Wish) -> Errand:
         return Errand(
             zone=self.zone,
             region=self.region,
             kilobytes=self.sizes.get(wish.route, USUAL_KILOBYTES),
+            objective=wish.objective,
             idempotent=wish.idempotent,
             may_try=wish.idempotent and wish.may_try,
         )
@@ -437,3 +479,11 @@
     is_second_time = chosen.upstream in wish.refused_by
     is_alone = len(usable) == 1
     return is_second_time or is_alone or len(wish.refused_by) >= MAX_SENT_ON
+
+
+def _max_risk(
+    chosen: Candidate,
+    usable: list[Candidate],
+    wish: Wish,
+) -> float:
+    return 1.0 if _is_firm(chosen, usable, wish) else SUSPECT_RISK
--- a/packages/node/src/kumquathold_node/callers.py
+++ b/packages/node/src/kumquathold_node/callers.py
@@ -14,6 +14,7 @@
 import waitress.channel
 import waitress.server
 import waitress.task
+import waitress.wasyncore
 from loguru import logger
 
 from kumquathold_core.work import Outcome, Refusal
@@ -34,7 +35,6 @@
 CONNECTION_LIMIT = 4000
 IDLE_SECONDS = 60
 BACKLOG = 1024
-JOIN_SECONDS = 0.5
 RETRY_SECONDS = 0.1
 BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
@@ -51,6 +51,7 @@
         self.in_hand = 0
         self.last_arrival = monotonic()
         self.is_leaving = False
+        self.server: waitress.server.BaseWSGIServer | None = None
         self.close_at = math.inf
         self.give_up_at = math.inf
         kernel.register('door', self)
@@ -64,6 +65,11 @@
         self.give_up_at = give_up_at
         self.is_leaving = True
 
+    def shut(self) -> None:
+        """Take no further connections."""
+        if self.server is not None:
+            stop_listening(self.server)
+
     @contextmanager
     def passing(self) -> Iterator[None]:
         """Count a request while the block runs."""
@@ -139,6 +145,12 @@
         metrics.count(f'ingress.refused.{unknown.reason.value}')
         return caller_requests.make_problem(unknown, request.id, dialect)
     metrics.count('ingress.answered')
+    logger.info(
+        'request answered',
+        request=request.id,
+        status=answer.status,
+        seconds=round(monotonic() - request.arrived_at, 3),
+    )
     return answer
 
 
@@ -249,6 +261,15 @@
     try:
         yield server
     finally:
-        server.task_dispatcher.shutdown(cancel_pending=False, timeout=0.2)
-        server.close()
-        thread.join(JOIN_SECONDS)
+        stop_listening(server)
+        server.task_dispatcher.shutdown(cancel_pending=False, timeout=0)
+
+
+def stop_listening(server: waitress.server.BaseWSGIServer) -> None:
+    """Take no further connections; those that are open go on.
+
+    The server's own thread does it, as it owns the socket.
+    """
+    server.trigger.pull_trigger(
+        lambda: waitress.wasyncore.dispatcher.close(server),
+    )
--- a/packages/node/src/kumquathold_node/configuration.py
+++ b/packages/node/src/kumquathold_node/configuration.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+import threading
 from collections.abc import Callable
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -137,6 +138,7 @@
         self.membership: Membership = kernel.find('membership')
         self.metrics: Metrics = kernel.find('metrics')
         self.current = _empty_configuration()
+        self.is_in_force = threading.Event()
         self.listeners: list[Callable[[Configuration], None]] = []
         self.partial: _PartialSnapshot | None = None
         self.fetched_at = -FETCH_AGAIN_SECONDS
@@ -238,6 +240,7 @@
             self.metrics.count('configuration.older_ignored')
             return
         self.current = configuration
+        self.is_in_force.set()
         self.freshness.adopt(configuration.version)
         self.fetched_at = -FETCH_AGAIN_SECONDS
         for listener in self.listeners:
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -6,13 +6,14 @@
 import threading
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
-from time import monotonic
+from time import monotonic, sleep
 
 import msgspec
 from loguru import logger
 
 from kumquathold_core import retries, routing, wire
 from kumquathold_core.freshness import Verdict
+from kumquathold_core.placement import DEFAULT_OBJECTIVE_SECONDS
 from kumquathold_core.retries import Failure, RetryBudget
 from kumquathold_core.rules import (
     Route,
@@ -22,7 +23,7 @@
 )
 from kumquathold_core.work import Headers, Outcome, Refusal
 from kumquathold_node import caller_requests
-from kumquathold_node.balancer import Balancer, Wish
+from kumquathold_node.balancer import Balancer, Choice, Wish
 from kumquathold_node.caller_requests import (
     CallerAnswer,
     CallerRequest,
@@ -45,6 +46,8 @@
 """Refusals that say: not run, another upstream may be better."""
 
 CALL_RANK = -1
+START_PATIENCE_SECONDS = 1.0
+CHOICE_PAUSE_SECONDS = 0.05
 TOKEN_PATIENCE_SHARE = 0.25
 MAX_TOKEN_WAIT_SECONDS = 2.0
 TOKEN_SLACK_SECONDS = 0.5
@@ -92,6 +95,7 @@
         self.metrics: Metrics = kernel.find('metrics')
         self.retry_ratio = settings.retry_ratio
         self.retry_extra = settings.retry_extra
+        self.retry_window = settings.retry_window
         self.budgets: dict[str, RetryBudget] = {}
         self.budget_lock = threading.Lock()
         kernel.register('ingress', self)
@@ -101,10 +105,11 @@
         with self.metrics.timed('ingress.admission'):
             admitted = self._admit(request)
         with self.budget_lock:
-            self._budget(admitted.service.name).earn()
+            self._budget(admitted.service.name).earn(monotonic())
         return self._see_through(admitted)
 
     def _admit(self, request: CallerRequest) -> Admitted:
+        self.configuration.is_in_force.wait(START_PATIENCE_SECONDS)
         configuration = self.configuration.current
         route = self._find_route(configuration, request)
         if len(request.body) > route.body_limit:
@@ -125,6 +130,7 @@
             route=route,
             service=configuration.rules.services[service],
             headers=(*request.headers, *self.own_headers),
+            slack=max(0.0, patience - (route.objective or patience)),
             rank=_rank_of(configuration, route, workspace),
             workspace=workspace,
             key_id=key_id,
@@ -208,7 +214,9 @@
         wish = Wish(
             service=admitted.service,
             route=admitted.route.name,
+            caller_id=admitted.request.id,
             idempotent=admitted.route.idempotent,
+            objective=admitted.route.objective or DEFAULT_OBJECTIVE_SECONDS,
         )
         progress = Progress(wish=wish, outcomes=[])
         while True:
@@ -266,11 +274,26 @@
             self.metrics.count('ingress.retry_budget_spent')
         return is_affordable
 
+    def _wait_for_choice(self, admitted: Admitted, wish: Wish) -> Choice | None:
+        """Choose; while no upstream is known, wait for its announcement.
+
+        After a restart the upstreams announce themselves within seconds.
+        """
+        give_up_at = admitted.request.arrived_at + START_PATIENCE_SECONDS
+        while True:
+            choice = self.balancer.choose(wish)
+            is_late = monotonic() >= min(give_up_at, admitted.deadline)
+            if choice is not None or is_late:
+                return choice
+            sleep(CHOICE_PAUSE_SECONDS)
+
     def _budget(self, service: str) -> RetryBudget:
         budget = self.budgets.get(service)
         if budget is None:
-            budget = RetryBudget(self.retry_ratio, self.retry_extra)
+            budget = RetryBudget(self.retry_ratio)
             self.budgets[service] = budget
+        nodes = len(self.context.membership.view.nodes)
+        budget.share(self.retry_extra / nodes, self.retry_window)
         return budget
 
     def _send_on(
@@ -296,7 +319,7 @@
         wish = progress.wish
         with self.budget_lock:
             wish.may_try = self._budget(wish.service.name).tokens >= 1
-        choice = self.balancer.choose(wish)
+        choice = self._wait_for_choice(admitted, wish)
         if choice is None:
             return Failure(Outcome.not_run, Refusal.no_upstream)
         name = choice.candidate.upstream
--- a/packages/node/src/kumquathold_node/jobs.py
+++ b/packages/node/src/kumquathold_node/jobs.py
@@ -55,6 +55,16 @@
         )
 
 
+def place_of(job: Job) -> turns.Place:
+    """Where a job stands among those that wait."""
+    return turns.Place(
+        rank=job.work.rank,
+        workspace=job.work.workspace,
+        weight=job.work.weight,
+        due_at=job.work.due_at,
+    )
+
+
 class Upstream:
     """An upstream beside this node."""
 
@@ -79,7 +89,7 @@
         self.expires_at = expires_at
         address = record.address or record.name
         self.calls = UpstreamCalls(address, record.name, dialect)
-        self.queue: turns.RankedQueue[Job] = turns.RankedQueue()
+        self.queue: turns.DueQueue[Job] = turns.DueQueue(place_of)
         self.in_use = 0
         self.service_seconds = 0.0
         self.suspicion = Suspicion()
@@ -96,6 +106,6 @@
             running=self.in_use,
             waiting=ahead,
             service_seconds=self.service_seconds,
-            is_suspect=self.suspicion.is_suspect(now),
+            risk=self.suspicion.risk(now),
             is_trial_due=self.suspicion.is_trial_due(now),
         )
--- a/packages/node/src/kumquathold_node/leaving.py
+++ b/packages/node/src/kumquathold_node/leaving.py
@@ -64,7 +64,9 @@
         end_at = begun_at + min(WORK_LIMIT_SECONDS, self.grace * END_SHARE)
         self._wait_for_quiet(begun_at, end_at)
         is_done = self._wait_for_work(end_at)
+        self.door.shut()
         sleep(ANSWER_FLUSH_SECONDS)
+        self._wait_for_work(monotonic() + ANSWER_FLUSH_SECONDS)
         logger.info('leaving done', all_finished=is_done)
 
     def _wait_for_quiet(self, begun_at: float, end_at: float) -> None:
--- a/packages/node/src/kumquathold_node/main.py
+++ b/packages/node/src/kumquathold_node/main.py
@@ -11,7 +11,11 @@
 import click
 from loguru import logger
 
-from kumquathold_core.retries import BUDGET_MAX, BUDGET_PER_REQUEST
+from kumquathold_core.retries import (
+    BUDGET_EXTRA,
+    BUDGET_PER_REQUEST,
+    BUDGET_WINDOW_SECONDS,
+)
 from kumquathold_node import callers, logs
 from kumquathold_node import settings as node_settings
 from kumquathold_node.administration import make_administration_app
@@ -58,7 +62,7 @@
                 ADMIN_THREADS,
             ),
         )
-        stack.enter_context(
+        leaving.door.server = stack.enter_context(
             serving(
                 make_caller_app(kernel, edges.caller_dialect),
                 settings.callers,
@@ -177,8 +181,13 @@
     ),
     click.option(
         '--retry-extra',
-        default=BUDGET_MAX,
-        help='Retries that this node may save up.',
+        default=BUDGET_EXTRA,
+        help='Further retries that the fleet may make in a window.',
+    ),
+    click.option(
+        '--retry-window',
+        default=BUDGET_WINDOW_SECONDS,
+        help='Seconds of that window.',
     ),
     click.option(
         '--grace',
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -193,6 +193,9 @@
             self._ping_dead(now)
         self.transport.close_idle()
         self._refresh_view()
+        if self.rounds % 40 == 0:  # DBG
+            m = self.transport.metrics.read()
+            logger.info('counters', **{k: round(v, 2) for k, v in m.items()})
 
     def news_peers(self) -> list[str]:
         """A few peers to tell of news: of the own zone, and one beyond."""
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -47,7 +47,7 @@
 
 TICK_SECONDS = 0.25
 WORKER_THREADS = 64
-QUEUE_SHARE_OF_DEADLINE = 0.5
+LEAST_SERVICE_SHARE = 0.5
 INQUIRY_SECONDS = 0.25
 SLOW_FACTOR = 3.0
 GRAY_REASONS = frozenset(
@@ -216,18 +216,13 @@
         upstream = self.upstreams.get(job.work.upstream)
         if upstream is None:
             return
-        asked_work = job.work
-        is_queued = upstream.queue.remove(
-            asked_work.rank,
-            asked_work.workspace,
-            job,
-        )
+        is_queued = upstream.queue.remove(job)
         if is_queued:
             self.metrics.count('owner.cancelled.queued')
             self._fail(job, Outcome.not_run, Refusal.cancelled)
             return
         # What must not run twice goes on: stopping it halfway helps nobody.
-        is_stopped = asked_work.idempotent and upstream.calls.cancel(
+        is_stopped = job.work.idempotent and upstream.calls.cancel(
             job.request,
         )
         if is_stopped:
@@ -303,7 +298,8 @@
         self._tell_upstreams()
 
     def _refuse_waiting(self, upstream: Upstream) -> None:
-        for job in upstream.queue.drain():
+        for job in upstream.queue.items():
+            upstream.queue.remove(job)
             self._fail(job, Outcome.not_run, Refusal.upstream_leaving)
 
     def on_leaving_begun(self, _: LeavingBegun) -> None:
@@ -388,6 +384,7 @@
                 self._fail(job, Outcome.not_run, Refusal.malformed)
         self.memory.expire(now)
         for name, upstream in list(self.upstreams.items()):
+            self._refuse_too_late(upstream, now)
             self._start_waiting(upstream)
             is_silent = upstream.expires_at <= now
             if is_silent and not upstream.in_use and not upstream.queue.size:
@@ -430,7 +427,8 @@
             load,
             seconds_left=asked.deadline - now,
             idempotent=asked.idempotent,
-            firm=asked.firm,
+            max_wait=asked.max_wait,
+            max_risk=asked.max_risk,
         )
         if refusal is not None:
             self._fail(
@@ -440,16 +438,11 @@
                 wait=admission.expect_wait(load),
             )
             return
-        is_taken = upstream.queue.push(
-            asked.rank,
-            asked.workspace,
-            asked.weight,
-            job,
-        )
+        is_taken = upstream.queue.push(job)
         if not is_taken:
             self._fail(job, Outcome.not_run, Refusal.overloaded)
             return
-        if load.is_suspect and asked.idempotent:
+        if asked.idempotent and upstream.suspicion.is_suspect(now):
             job.is_trial = True
             upstream.suspicion.trials += 1
         self.jobs[job.request] = job
@@ -524,17 +517,16 @@
 
     def _start_waiting(self, upstream: Upstream) -> None:
         while upstream.in_use < upstream.record.slots:
-            job = upstream.queue.pop()
+            end_at = monotonic() + upstream.service_seconds
+            job = upstream.queue.pop(end_at)
             if job is None:
                 return
             self._start(upstream, job)
 
     def _start(self, upstream: Upstream, job: Job) -> None:
         now = monotonic()
-        waited = now - job.queued_at
-        patience = job.work.deadline - job.queued_at
-        self.metrics.time('owner.queue', waited)
-        if waited > patience * QUEUE_SHARE_OF_DEADLINE:
+        self.metrics.time('owner.queue', now - job.queued_at)
+        if self._is_too_late(upstream, job, now):
             self._fail(job, Outcome.not_run, Refusal.overloaded)
             return
         if self._is_key_withdrawn(job.work):
@@ -548,6 +540,17 @@
         else:
             self._call(job)
 
+    def _is_too_late(self, upstream: Upstream, job: Job, now: float) -> bool:
+        """Whether a request can no longer end before its deadline."""
+        needed = upstream.service_seconds * LEAST_SERVICE_SHARE
+        return job.work.deadline - now < needed
+
+    def _refuse_too_late(self, upstream: Upstream, now: float) -> None:
+        for job in upstream.queue.items():
+            if self._is_too_late(upstream, job, now):
+                upstream.queue.remove(job)
+                self._fail(job, Outcome.not_run, Refusal.overloaded)
+
     def _call(self, job: Job) -> None:
         upstream = self.upstreams[job.work.upstream]
         self.workers.submit(self._run_call, upstream.calls, job)
--- a/packages/node/src/kumquathold_node/rate_election.py
+++ b/packages/node/src/kumquathold_node/rate_election.py
@@ -70,6 +70,7 @@
         self.looked_at = boot_time()
         self.paused_at = 0.0
         self.has_reclaimed = False
+        self.started_at = monotonic()
         self.read_at = -READ_AGAIN_SECONDS
         self.ready_at: dict[int, float] = {}
         self.is_stopping = False
@@ -170,8 +171,12 @@
         if not wanted:
             return
         self.read_at = now
+        is_reclaim = not self.has_reclaimed
         taken = self._take(wanted)
-        ready_at = monotonic() + buckets.GRANT_SECONDS
+        # What the last process at this address granted has expired a while
+        # after this one began.
+        granted_at = self.started_at if is_reclaim else monotonic()
+        ready_at = granted_at + buckets.GRANT_SECONDS
         self.ready_at.update(dict.fromkeys(taken, ready_at))
         if taken:
             self._publish()
--- a/packages/node/src/kumquathold_node/sending.py
+++ b/packages/node/src/kumquathold_node/sending.py
@@ -34,6 +34,8 @@
 GONE_CHECK_SECONDS = 0.2
 FIRST_CONTACT_SECONDS = 0.2
 MIN_WAIT_SECONDS = 0.001
+OVERHEAD_BYTES = 800
+KILOBYTE = 1000
 SERVER_ERROR = 500
 
 
@@ -55,6 +57,9 @@
     headers: Headers
     """What goes to the upstream, from the caller and from the node."""
 
+    slack: float
+    """Seconds between the moment when its answer is late and its deadline."""
+
     rank: int
     """Place among waiting requests; lower goes first."""
 
@@ -202,7 +207,9 @@
             claim=admitted.claim,
             crashes=self.crashed,
             rank=admitted.rank,
-            firm=self.choice.is_firm,
+            due_at=deadline - admitted.slack,
+            max_wait=self.choice.max_wait,
+            max_risk=self.choice.max_risk,
             body_bytes=len(request.body),
             body_digest=admitted.body_digest,
             body=first,
@@ -320,6 +327,11 @@
 
     def _on_answered(self, event: Answered) -> CallerAnswer:
         answer = event.answer
+        weight = len(self.admitted.request.body) + len(event.body)
+        self.context.balancer.note_size(
+            self.admitted.route.name,
+            (weight + OVERHEAD_BYTES) / KILOBYTE,
+        )
         self.context.balancer.note_answer(
             self.admitted.service,
             self.admitted.route.name,
--- a/packages/node/src/kumquathold_node/settings.py
+++ b/packages/node/src/kumquathold_node/settings.py
@@ -7,7 +7,11 @@
 
 import msgspec
 
-from kumquathold_core.retries import BUDGET_MAX, BUDGET_PER_REQUEST
+from kumquathold_core.retries import (
+    BUDGET_EXTRA,
+    BUDGET_PER_REQUEST,
+    BUDGET_WINDOW_SECONDS,
+)
 from kumquathold_core.wire import SECRET_MAX_BYTES, SECRET_MIN_BYTES
 
 MAX_PORT = 65535
@@ -119,8 +123,11 @@
     retry_ratio: float = BUDGET_PER_REQUEST
     """Retries that each request earns this node."""
 
-    retry_extra: float = BUDGET_MAX
-    """Retries that this node may save up."""
+    retry_extra: float = BUDGET_EXTRA
+    """Further retries of a service that the fleet may make in a window."""
+
+    retry_window: float = BUDGET_WINDOW_SECONDS
+    """Seconds of that window."""
 
     grace: float = DEFAULT_GRACE_SECONDS
     """Seconds from the signal to leave until the process must have ended."""
@@ -268,7 +275,8 @@
         ('--far-rounds', settings.far_rounds, 1, 100),
         ('--explore-share', settings.explore_share, 0, 1),
         ('--retry-ratio', settings.retry_ratio, 0, 1),
-        ('--retry-extra', settings.retry_extra, 0, 1000),
+        ('--retry-extra', settings.retry_extra, 0, 100_000),
+        ('--retry-window', settings.retry_window, 1, 600),
         ('--grace', settings.grace, 1, 600),
     )
     return [
--- a/packages/standins/src/kumquathold_standins/slopes.py
+++ b/packages/standins/src/kumquathold_standins/slopes.py
@@ -8,6 +8,7 @@
 
 import gc
 import json
+import math
 import random
 import time
 from collections.abc import Callable
@@ -265,7 +266,9 @@
         crashes=0,
         caller_id='',
         rank=0,
-        firm=True,
+        due_at=0.0,
+        max_wait=math.inf,
+        max_risk=1.0,
         body_bytes=0,
         body_digest=b'0' * 16,
         body=b'',
