Blame upstreams and requests for their own failures only; refuse early what is late

Change: outcomes while a call from the same vm failed are no evidence; a request that ran well within a minute is not blamed for a crash; three late requests a slot may wait, the others are refused at once; other zones are taken to be half as busy.

--- a/packages/core/src/kumquathold_core/crashes.py
+++ b/packages/core/src/kumquathold_core/crashes.py
@@ -1,7 +1,8 @@
 """Marks requests that crash the upstreams that run them.
 
 Pure: the time is passed in. A request is known by its fingerprint. Once it
-has crashed two upstreams it is refused for a while, and nothing else is.
+has crashed two upstreams it is refused for a while, and nothing else is: one
+that ran well lately is not blamed for a crash that it was caught in.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 
 MAX_CRASHES = 2
 MARK_SECONDS = 600.0
+PROOF_SECONDS = 60.0
 MAX_MARKS = 4096
 FINGERPRINT_BYTES = 16
 
@@ -46,6 +48,24 @@
     def __init__(self) -> None:
         """Start with none."""
         self.marks: dict[bytes, CrashMark] = {}
+        self.proven: dict[bytes, float] = {}
+
+    def note_success(self, fingerprint: bytes, now: float) -> None:
+        """Note that a request ran to a good end, so that it is not blamed."""
+        self.proven.pop(fingerprint, None)
+        self.proven[fingerprint] = now
+        while len(self.proven) > MAX_MARKS:
+            self.proven.pop(next(iter(self.proven)))
+
+    def is_proven(self, fingerprint: bytes, now: float) -> bool:
+        """Whether a request ran well lately.
+
+        An upstream that crashes takes along all that it runs at the moment;
+        those that ran well elsewhere are not the cause.
+        """
+        return (
+            now - self.proven.get(fingerprint, -PROOF_SECONDS) < PROOF_SECONDS
+        )
 
     def add(self, fingerprint: bytes, upstream: str, now: float) -> int:
         """Note a crash; give how many upstreams the request crashed."""
--- a/packages/core/src/kumquathold_core/lifetimes.py
+++ b/packages/core/src/kumquathold_core/lifetimes.py
@@ -50,10 +50,12 @@
             self.seen[name] = LastSeen(sighting, leaving)
             return True
         is_late = sighting < known.sighting
-        if is_late or (known.has_left and not leaving):
+        # One that does not tell its lifetimes apart may come back.
+        is_bound = known.has_left and sighting.lifetime > 0
+        if is_late or (is_bound and not leaving):
             return False
         known.sighting = sighting
-        known.has_left = known.has_left or leaving
+        known.has_left = leaving
         return True
 
     def leave(self, name: str, lifetime: int) -> None:
--- a/packages/core/src/kumquathold_core/placement.py
+++ b/packages/core/src/kumquathold_core/placement.py
@@ -31,9 +31,10 @@
 LATE_PRICE = 0.8
 IN_TIME_PRICE = 0.08
 SAFE_SHARE_OF_OBJECTIVE = 0.7
-TOLL_PER_KILOBYTE = (0.0, 0.04, 0.08)
+TOLL_PER_KILOBYTE = (0.0, 0.05, 0.09)
 TOLL_BASE = (0.0, 0.05, 0.08)
 USUAL_SECONDS = 0.3
+FAR_BACKLOG_SHARE = 0.5
 DEFAULT_OBJECTIVE_SECONDS = 1.0
 TIE_PRICE = 0.02
 REACH = {ZoneChoice.zone: 0, ZoneChoice.region: 1, ZoneChoice.any: 2}
@@ -159,8 +160,8 @@
 ) -> Candidate | None:
     """The upstream with the lowest price within reach, ties at random.
 
-    Of upstreams beyond the own zone little is known; they are taken to be as
-    busy as the least busy one of the zone.
+    Of upstreams beyond the own zone little is known; they are taken to be
+    `FAR_BACKLOG_SHARE` as busy as the least busy one of the zone.
     """
     unknown = LoadReport()
     near = [
@@ -168,7 +169,7 @@
         for one in candidates
         if one.zone == errand.zone
     ]
-    usual = min(near, default=0.0)
+    usual = FAR_BACKLOG_SHARE * min(near, default=0.0)
     within = [
         one
         for one in candidates
--- a/packages/core/src/kumquathold_core/retries.py
+++ b/packages/core/src/kumquathold_core/retries.py
@@ -13,7 +13,7 @@
 from kumquathold_core.work import Outcome, Refusal
 
 BUDGET_PER_REQUEST = 0.1
-BUDGET_EXTRA = 20.0
+BUDGET_EXTRA = 120.0
 BUDGET_WINDOW_SECONDS = 10.0
 SAVED_SHARE = 0.5
 MAX_ATTEMPTS = 4
--- a/packages/core/src/kumquathold_core/turns.py
+++ b/packages/core/src/kumquathold_core/turns.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
 from collections.abc import Callable
 from typing import Generic, TypeVar
@@ -138,12 +139,12 @@
 
     def items(self) -> list[Item]:
         """All waiting requests."""
-        return [
-            waiting
+        lines = [
+            line
             for queue in self.ranks.values()
             for line in queue.lines.values()
-            for waiting in line
         ]
+        return list(itertools.chain.from_iterable(lines))
 
 
 class DueQueue(Generic[Item]):
@@ -152,14 +153,21 @@
     The load that this answers: more requests than slots. In the order of
     arrival each would wait until its answer is late, and late answers are
     worth little. A request that can no longer meet its objective gives way to
-    those that can, and is served when none of them waits.
+    those that can, and is served when none of them waits. At most `late_limit`
+    wait so; who finds no place there is dropped, to be refused at once.
     """
 
-    __slots__ = ('late', 'place_of', 'punctual')
+    __slots__ = ('dropped', 'late', 'late_limit', 'place_of', 'punctual')
 
-    def __init__(self, place_of: Callable[[Item], Place]) -> None:
+    def __init__(
+        self,
+        place_of: Callable[[Item], Place],
+        late_limit: int,
+    ) -> None:
         """Take the function that tells where a request belongs."""
         self.place_of = place_of
+        self.late_limit = late_limit
+        self.dropped: list[Item] = []
         self.punctual: RankedQueue[Item] = RankedQueue()
         self.late: RankedQueue[Item] = RankedQueue()
 
@@ -183,8 +191,17 @@
             if waiting is None:
                 return self.late.pop()
             place = self.place_of(waiting)
-            if place.due_at >= end_at or not self.late.push(place, waiting):
+            if place.due_at >= end_at:
                 return waiting
+            has_room = self.late.size < self.late_limit
+            if not has_room or not self.late.push(place, waiting):
+                self.dropped.append(waiting)
+
+    def take_dropped(self) -> list[Item]:
+        """The requests that found no place since the last time."""
+        dropped = self.dropped
+        self.dropped = []
+        return dropped
 
     def remove(self, waiting: Item) -> bool:
         """Take a request out, wherever it stands."""
--- a/packages/node/src/kumquathold_node/assembly.py
+++ b/packages/node/src/kumquathold_node/assembly.py
@@ -12,6 +12,7 @@
 from kumquathold_node.exchanges import Exchanges
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.ingress import Ingress
+from kumquathold_node.jobs import CallFailures
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.leaving import Leaving
 from kumquathold_node.membership import Membership
@@ -41,11 +42,29 @@
             settings.dial,
         ),
     )
+    _add_fleet(kernel, settings, edges, incarnation)
+    _add_work(kernel, settings, edges)
+    Leaving(kernel, settings)
+    return kernel
+
+
+def _add_fleet(
+    kernel: Kernel,
+    settings: Settings,
+    edges: Edges,
+    incarnation: int,
+) -> None:
+    """Add what nodes agree on: who is there, and the configuration."""
     FreshnessService(kernel, settings)
     Membership(kernel, _own_record(settings, incarnation), settings)
     ConfigurationService(kernel, edges.read_rules)
     edges.follow_configuration(kernel, settings)
+
+
+def _add_work(kernel: Kernel, settings: Settings, edges: Edges) -> None:
+    """Add what takes requests to upstreams and back."""
     Door(kernel)
+    kernel.register('call-failures', CallFailures())
     Exchanges(kernel)
     ClaimsService(kernel, settings)
     Owner(kernel, edges.upstream_dialect)
@@ -54,8 +73,6 @@
     RateDrawer(kernel, settings)
     Balancer(kernel, settings)
     Ingress(kernel, settings, edges.upstream_dialect)
-    Leaving(kernel, settings)
-    return kernel
 
 
 def _own_record(settings: Settings, incarnation: int) -> NodeRecord:
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -6,6 +6,7 @@
 import threading
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
+from http import HTTPStatus
 from time import monotonic, sleep
 
 import msgspec
@@ -32,6 +33,7 @@
 from kumquathold_node.configuration import Configuration, ConfigurationService
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.freshness_service import FreshnessService
+from kumquathold_node.jobs import CallFailures
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.rate_drawer import (
@@ -91,6 +93,7 @@
         self.freshness: FreshnessService = kernel.find('freshness')
         self.context = SendingContext(kernel)
         self.balancer: Balancer = kernel.find('balancer')
+        self.call_failures: CallFailures = kernel.find('call-failures')
         self.rates: RateDrawer = kernel.find('rate-drawer')
         self.metrics: Metrics = kernel.find('metrics')
         self.retry_ratio = settings.retry_ratio
@@ -106,7 +109,16 @@
             admitted = self._admit(request)
         with self.budget_lock:
             self._budget(admitted.service.name).earn(monotonic())
-        return self._see_through(admitted)
+        if admitted.rank != CALL_RANK:
+            return self._see_through(admitted)
+        try:
+            answer = self._see_through(admitted)
+        except Refused:
+            self.call_failures.note()
+            raise
+        if answer.status >= HTTPStatus.BAD_REQUEST:
+            self.call_failures.note()
+        return answer
 
     def _admit(self, request: CallerRequest) -> Admitted:
         self.configuration.is_in_force.wait(START_PATIENCE_SECONDS)
--- a/packages/node/src/kumquathold_node/jobs.py
+++ b/packages/node/src/kumquathold_node/jobs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from time import monotonic
+
 import msgspec
 
 from kumquathold_core import crashes, turns
@@ -13,6 +15,8 @@
 from kumquathold_node.upstream_calls import UpstreamCalls
 
 SERVICE_GAIN = 0.2
+LATE_PER_SLOT = 3
+LEAST_SERVICE_SHARE = 0.5
 
 
 class Job(msgspec.Struct, eq=False):
@@ -55,6 +59,20 @@
         )
 
 
+class CallFailures:
+    """When a call that an upstream beside this node made last failed."""
+
+    __slots__ = ('last_at',)
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.last_at = 0.0
+
+    def note(self) -> None:
+        """Take in that one failed now."""
+        self.last_at = monotonic()
+
+
 def place_of(job: Job) -> turns.Place:
     """Where a job stands among those that wait."""
     return turns.Place(
@@ -89,7 +107,10 @@
         self.expires_at = expires_at
         address = record.address or record.name
         self.calls = UpstreamCalls(address, record.name, dialect)
-        self.queue: turns.DueQueue[Job] = turns.DueQueue(place_of)
+        self.queue: turns.DueQueue[Job] = turns.DueQueue(
+            place_of,
+            late_limit=record.slots * LATE_PER_SLOT,
+        )
         self.in_use = 0
         self.service_seconds = 0.0
         self.suspicion = Suspicion()
@@ -99,6 +120,16 @@
         gain = SERVICE_GAIN if self.service_seconds else 1.0
         self.service_seconds += gain * (seconds - self.service_seconds)
 
+    def is_too_late(self, job: Job, now: float) -> bool:
+        """Whether a request can no longer end before its deadline."""
+        needed = self.service_seconds * LEAST_SERVICE_SHARE
+        return job.work.deadline - now < needed
+
+    def find_too_late(self, now: float) -> list[Job]:
+        """The waiting requests that can no longer end in time."""
+        waiting = self.queue.items()
+        return [job for job in waiting if self.is_too_late(job, now)]
+
     def measure(self, now: float, ahead: int) -> UpstreamLoad:
         """The load as admission sees it, with `ahead` requests waiting."""
         return UpstreamLoad(
@@ -109,3 +140,38 @@
             risk=self.suspicion.risk(now),
             is_trial_due=self.suspicion.is_trial_due(now),
         )
+
+
+def find_predecessors(
+    upstreams: dict[str, Upstream],
+    record: UpstreamRecord,
+) -> list[Upstream]:
+    """The upstreams whose name or address has a new process."""
+    return [
+        known
+        for name, known in upstreams.items()
+        if _is_succeeded(name, known.record, record)
+    ]
+
+
+def _is_succeeded(
+    name: str,
+    known: UpstreamRecord,
+    record: UpstreamRecord,
+) -> bool:
+    if name == record.name:
+        return known.lifetime < record.lifetime
+    return known.address == record.address
+
+
+def is_outlived(
+    upstreams: dict[str, Upstream],
+    record: UpstreamRecord,
+) -> bool:
+    """Whether a later process has the address of an announced upstream."""
+    return any(
+        known.record.address == record.address
+        and known.record.lifetime > record.lifetime
+        for name, known in upstreams.items()
+        if name != record.name
+    )
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -193,9 +193,6 @@
             self._ping_dead(now)
         self.transport.close_idle()
         self._refresh_view()
-        if self.rounds % 40 == 0:  # DBG
-            m = self.transport.metrics.read()
-            logger.info('counters', **{k: round(v, 2) for k, v in m.items()})
 
     def news_peers(self) -> list[str]:
         """A few peers to tell of news: of the own zone, and one beyond."""
@@ -414,7 +411,7 @@
             return
         # Rumours usually settle a difference; a table is many of them.
         patience = TABLE_ASK_SECONDS
-        if self.far_rounds > 1 and not self._is_near(peer):
+        if self.far_rounds > 1 and peer in self._peers(is_far=True):
             patience *= FAR_PATIENCE
         if now - self.table_asked_at < patience:
             return
@@ -435,12 +432,6 @@
         for peer in chosen:
             self._ping(peer, now)
 
-    def _is_near(self, peer: str) -> bool:
-        member = self.table.members.get(peer)
-        return member is not None and (
-            member.record.zone == self.table.own.zone
-        )
-
     def _urgent_peers(self) -> list[str]:
         if self.far_rounds == 1:
             peers = self.table.peers()
--- a/packages/node/src/kumquathold_node/metrics.py
+++ b/packages/node/src/kumquathold_node/metrics.py
@@ -8,6 +8,7 @@
 
 import bisect
 import itertools
+import math
 import threading
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
@@ -70,7 +71,7 @@
             self.seconds[f'{name}.seconds'] += seconds
             buckets = self.buckets.get(name)
             if buckets is None:
-                buckets = [0] * (len(BUCKET_SECONDS) + 1)
+                buckets = [0 for _ in (*BUCKET_SECONDS, math.inf)]
                 self.buckets[name] = buckets
             buckets[bisect.bisect_left(BUCKET_SECONDS, seconds)] += 1
         if self.client is not None:
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -25,11 +25,17 @@
 )
 from kumquathold_core.memory import RequestMemory
 from kumquathold_core.work import Outcome, Refusal
-from kumquathold_node import claims_service
+from kumquathold_node import claims_service, owner_outcomes
 from kumquathold_node.announcements import Announced, Deregistered
 from kumquathold_node.configuration import ConfigurationService
 from kumquathold_node.dialect import UpstreamDialect
-from kumquathold_node.jobs import Job, Upstream
+from kumquathold_node.jobs import (
+    CallFailures,
+    Job,
+    Upstream,
+    find_predecessors,
+    is_outlived,
+)
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import Membership, UpstreamsChanged
 from kumquathold_node.metrics import Metrics
@@ -42,21 +48,12 @@
 )
 
 if TYPE_CHECKING:
-    from kumquathold_core.identity import RequestId, UpstreamRecord
+    from kumquathold_core.identity import RequestId
     from kumquathold_core.wire import Envelope
 
 TICK_SECONDS = 0.25
 WORKER_THREADS = 64
-LEAST_SERVICE_SHARE = 0.5
 INQUIRY_SECONDS = 0.25
-SLOW_FACTOR = 3.0
-GRAY_REASONS = frozenset(
-    (
-        Refusal.upstream_failed,
-        Refusal.upstream_unreachable,
-    )
-)
-"""Failures of a call that speak against the upstream."""
 
 
 class CallAnswered(msgspec.Struct, frozen=True):
@@ -90,6 +87,7 @@
         """Find the services that are needed, and register."""
         self.dialect = dialect
         self.lifetimes = lifetimes.Lifetimes()
+        self.call_failures: CallFailures = kernel.find('call-failures')
         self.transport: Transport = kernel.find('transport')
         self.membership: Membership = kernel.find('membership')
         self.configuration: ConfigurationService = kernel.find('configuration')
@@ -241,12 +239,13 @@
             record.name,
             announced.sighting,
             leaving=record.leaving,
-        )
+        ) and not is_outlived(self.upstreams, record)
         if not is_news:
             self.metrics.count('owner.announcements_late')
             announced.reply.set_result((0, 0))
             return
-        self._drop_predecessors(record)
+        for older in find_predecessors(self.upstreams, record):
+            self._forget(older)
         upstream = self.upstreams.get(record.name)
         if upstream is None:
             upstream = Upstream(record, announced.expires_at, self.dialect)
@@ -281,16 +280,6 @@
             logger.info('upstream deregistered', upstream=deregistered.name)
         deregistered.reply.set_result((in_use, 0))
 
-    def _drop_predecessors(self, record: UpstreamRecord) -> None:
-        """Forget upstreams whose address or name has a new process."""
-        for name, known in list(self.upstreams.items()):
-            is_same = name == record.name
-            is_older = known.record.lifetime < record.lifetime
-            if is_same and not is_older:
-                continue
-            if is_same or known.record.address == record.address:
-                self._forget(known)
-
     def _forget(self, upstream: Upstream) -> None:
         self._refuse_waiting(upstream)
         upstream.calls.close()
@@ -331,7 +320,21 @@
         job = answered.job
         answer = answered.answer
         is_failure = answer.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
-        self._note_outcome(job, answer.seconds, failed=is_failure)
+        upstream = self.upstreams.get(job.work.upstream)
+        is_blamed = is_failure and owner_outcomes.is_blamed_on_calls(
+            job,
+            self.call_failures,
+        )
+        if upstream is not None and not is_blamed:
+            owner_outcomes.note_answer(
+                upstream,
+                job,
+                self.metrics,
+                seconds=answer.seconds,
+                failed=is_failure,
+            )
+        if not is_failure:
+            self.marks.note_success(job.fingerprint, monotonic())
         self._free_slot(job)
         self.metrics.time('owner.upstream', answer.seconds)
         if job.work.claim:
@@ -343,15 +346,27 @@
         """Give the slot on, and say what is known."""
         job = ended.job
         failure = ended.failure
-        if not job.is_cancelled and self._speaks_against(job, failure):
-            self._note_outcome(job, 0, failed=True)
-        elif job.is_trial:
-            self._end_trial(job)
+        upstream = self.upstreams.get(job.work.upstream)
+        if upstream is not None and owner_outcomes.speaks_against(
+            upstream,
+            job,
+            failure,
+        ):
+            owner_outcomes.note_answer(
+                upstream,
+                job,
+                self.metrics,
+                seconds=0,
+                failed=True,
+            )
         self._free_slot(job)
         self.metrics.count(f'owner.failed.{failure.reason.value}')
         if failure.crashed or failure.reason == Refusal.upstream_unreachable:
             self._note_down(job.work.upstream)
-        if failure.crashed:
+        if failure.crashed and not self.marks.is_proven(
+            job.fingerprint,
+            monotonic(),
+        ):
             self._spread_crash(job)
         if job.work.claim:
             self.claims.keep_outcome(job, failure)
@@ -384,7 +399,9 @@
                 self._fail(job, Outcome.not_run, Refusal.malformed)
         self.memory.expire(now)
         for name, upstream in list(self.upstreams.items()):
-            self._refuse_too_late(upstream, now)
+            for job in upstream.find_too_late(now):
+                upstream.queue.remove(job)
+                self._fail(job, Outcome.not_run, Refusal.overloaded)
             self._start_waiting(upstream)
             is_silent = upstream.expires_at <= now
             if is_silent and not upstream.in_use and not upstream.queue.size:
@@ -443,55 +460,10 @@
             self._fail(job, Outcome.not_run, Refusal.overloaded)
             return
         if asked.idempotent and upstream.suspicion.is_suspect(now):
-            job.is_trial = True
-            upstream.suspicion.trials += 1
+            owner_outcomes.begin_trial(upstream, job)
         self.jobs[job.request] = job
         self._start_waiting(upstream)
 
-    def _note_outcome(self, job: Job, seconds: float, *, failed: bool) -> None:
-        upstream = self.upstreams.get(job.work.upstream)
-        if upstream is None:
-            return
-        now = monotonic()
-        was_suspect = upstream.suspicion.is_suspect(now)
-        upstream.suspicion.note(now, failed=failed)
-        logger.info(
-            'upstream answered',
-            request=job.work.caller_id,
-            upstream=job.work.upstream,
-            failed=failed,
-            seconds=round(now - job.started_at, 3),
-            queued=round(job.started_at - job.queued_at, 3),
-            belief=round(upstream.suspicion.belief, 3),
-        )
-        if not failed:
-            upstream.note_service(seconds)
-        is_suspect = upstream.suspicion.is_suspect(now)
-        if is_suspect != was_suspect:
-            self.metrics.count('owner.suspicions', int(is_suspect))
-            logger.info(
-                'upstream suspected' if is_suspect else 'upstream trusted',
-                upstream=job.work.upstream,
-                belief=round(upstream.suspicion.belief, 3),
-                request=job.work.caller_id,
-            )
-        if job.is_trial:
-            self._end_trial(job)
-
-    def _speaks_against(self, job: Job, failure: CallFailed) -> bool:
-        """Whether a failed call is evidence that the upstream is gray."""
-        if failure.reason != Refusal.deadline_passed:
-            return failure.reason in GRAY_REASONS
-        upstream = self.upstreams.get(job.work.upstream)
-        usual = upstream.service_seconds if upstream else 0
-        return monotonic() - job.started_at > SLOW_FACTOR * usual
-
-    def _end_trial(self, job: Job) -> None:
-        job.is_trial = False
-        upstream = self.upstreams.get(job.work.upstream)
-        if upstream is not None:
-            upstream.suspicion.trials -= 1
-
     def _find_refusal(self, job: Job) -> Refusal | None:
         asked = job.work
         upstream = self.upstreams.get(asked.upstream)
@@ -519,6 +491,8 @@
         while upstream.in_use < upstream.record.slots:
             end_at = monotonic() + upstream.service_seconds
             job = upstream.queue.pop(end_at)
+            for dropped in upstream.queue.take_dropped():
+                self._fail(dropped, Outcome.not_run, Refusal.overloaded)
             if job is None:
                 return
             self._start(upstream, job)
@@ -526,7 +500,7 @@
     def _start(self, upstream: Upstream, job: Job) -> None:
         now = monotonic()
         self.metrics.time('owner.queue', now - job.queued_at)
-        if self._is_too_late(upstream, job, now):
+        if upstream.is_too_late(job, now):
             self._fail(job, Outcome.not_run, Refusal.overloaded)
             return
         if self._is_key_withdrawn(job.work):
@@ -540,17 +514,6 @@
         else:
             self._call(job)
 
-    def _is_too_late(self, upstream: Upstream, job: Job, now: float) -> bool:
-        """Whether a request can no longer end before its deadline."""
-        needed = upstream.service_seconds * LEAST_SERVICE_SHARE
-        return job.work.deadline - now < needed
-
-    def _refuse_too_late(self, upstream: Upstream, now: float) -> None:
-        for job in upstream.queue.items():
-            if self._is_too_late(upstream, job, now):
-                upstream.queue.remove(job)
-                self._fail(job, Outcome.not_run, Refusal.overloaded)
-
     def _call(self, job: Job) -> None:
         upstream = self.upstreams[job.work.upstream]
         self.workers.submit(self._run_call, upstream.calls, job)
@@ -614,9 +577,9 @@
     ) -> None:
         self.metrics.count(f'owner.refused.{reason.value}')
         self.jobs.pop(job.request, None)
-        if job.is_trial:
-            self._end_trial(job)
         upstream = self.upstreams.get(job.work.upstream)
+        if upstream is not None:
+            owner_outcomes.end_trial(upstream, job)
         failure = msgspec.structs.replace(
             make_failure(job.request, outcome, reason, crashed=crashed),
             backlog=_backlog_of(upstream),
--- a/packages/node/src/kumquathold_node/rate_election.py
+++ b/packages/node/src/kumquathold_node/rate_election.py
@@ -69,7 +69,6 @@
         self.kept_alive_at = 0.0
         self.looked_at = boot_time()
         self.paused_at = 0.0
-        self.has_reclaimed = False
         self.started_at = monotonic()
         self.read_at = -READ_AGAIN_SECONDS
         self.ready_at: dict[int, float] = {}
@@ -135,7 +134,7 @@
         logger.warning('rate lease ended', groups=sorted(groups))
         self.lease = None
         self.ready_at = {}
-        kept = self._take(sorted(groups)) if groups else []
+        kept = self._take(sorted(groups), self._read_records())
         self.ready_at.update({group: groups[group] for group in kept})
         self._publish()
 
@@ -167,56 +166,69 @@
         now = monotonic()
         if now - self.read_at < READ_AGAIN_SECONDS:
             return
-        wanted = self._preferred_free_groups()
+        free = self._free_groups()
+        wanted = free if self.started_at else self._preferred(free)
         if not wanted:
             return
         self.read_at = now
-        is_reclaim = not self.has_reclaimed
-        taken = self._take(wanted)
-        # What the last process at this address granted has expired a while
-        # after this one began.
-        granted_at = self.started_at if is_reclaim else monotonic()
-        ready_at = granted_at + buckets.GRANT_SECONDS
-        self.ready_at.update(dict.fromkeys(taken, ready_at))
+        stored = self._read_records()
+        own = self._own_groups(free, stored) if self.started_at else []
+        groups = dict.fromkeys([*own, *self._preferred(free)])
+        taken = self._take(list(groups), stored)
+        for group in taken:
+            # What the last process at this address granted has expired a
+            # while after this one began.
+            granted_at = self.started_at if group in own else monotonic()
+            self.ready_at[group] = granted_at + buckets.GRANT_SECONDS
+        self.started_at = 0.0
         if taken:
             self._publish()
             logger.info('rate groups held', groups=sorted(self.ready_at))
 
-    def _preferred_free_groups(self) -> list[int]:
-        """Groups without a living holder that this node is first to take.
-
-        A node that restarts is first for what its last process held, but
-        cannot know it; so it tries all groups once after its start.
-        """
-        view = self.membership.view
+    def _free_groups(self) -> list[int]:
+        """Groups without a living holder."""
         region = self.settings.region
-        free = [
+        return [
             group
             for group in range(self.settings.rate_groups)
-            if (region, group) not in view.holders
+            if (region, group) not in self.membership.view.holders
             and group not in self.ready_at
         ]
-        if not self.has_reclaimed:
-            return free
+
+    def _preferred(self, groups: list[int]) -> list[int]:
+        """The groups that this node is first to take."""
+        region = self.settings.region
         nodes = [
             node
-            for node in view.nodes
+            for node in self.membership.view.nodes
             if node.region == region and not node.leaving
         ]
         return [
             group
-            for group in free
+            for group in groups
             if members.rank_nodes(nodes, f'group {group}')[0].address
             == self.settings.peer
         ]
 
-    def _take(self, groups: list[int]) -> list[int]:
-        """Write the own record for groups; give those that are held now."""
+    def _read_records(self) -> dict[str, Stored]:
         prefix = platform_keys.rate_prefix(self.settings.region)
         found = self.platform.read_prefix(prefix).found
-        stored = {one.key: one for one in found}
-        if not self.has_reclaimed:
-            groups = [one for one in groups if self._key(one) in stored]
+        return {one.key: one for one in found}
+
+    def _own_groups(
+        self,
+        groups: list[int],
+        stored: dict[str, Stored],
+    ) -> list[int]:
+        """What the last process at this address held when it ended."""
+        return [
+            group
+            for group in groups
+            if self._key(group) in stored and self._is_free(group, stored)
+        ]
+
+    def _take(self, groups: list[int], stored: dict[str, Stored]) -> list[int]:
+        """Write the own record for groups; give those that are held now."""
         free = [one for one in groups if self._is_free(one, stored)]
         taken: list[int] = []
         for start in range(0, len(free), WRITES_PER_SWAP):
@@ -226,7 +238,6 @@
                 taken.extend(part)
             else:
                 self.metrics.count('rates.election_lost')
-        self.has_reclaimed = True
         return taken
 
     def _is_free(self, group: int, stored: dict[str, Stored]) -> bool:
--- a/packages/node/src/kumquathold_node/transport.py
+++ b/packages/node/src/kumquathold_node/transport.py
@@ -207,15 +207,18 @@
 
     def _push(self, receiver: str, frame: bytes, *, block: bool) -> None:
         try:
-            try:
-                self._link(receiver).socket.send(frame, block=block)
-            except pynng.Closed:
-                # Another thread reset the link between look-up and use.
-                self._link(receiver).socket.send(frame, block=block)
+            self._send_frame(receiver, frame, block=block)
         except (pynng.TryAgain, pynng.Timeout, pynng.Closed) as error:
             self.metrics.count('peers.not_sent')
             raise LinkFull(receiver) from error
 
+    def _send_frame(self, receiver: str, frame: bytes, *, block: bool) -> None:
+        try:
+            self._link(receiver).socket.send(frame, block=block)
+        except pynng.Closed:
+            # Another thread reset the link between look-up and use.
+            self._link(receiver).socket.send(frame, block=block)
+
     def _link(self, receiver: str) -> Link:
         with self.lock:
             link = self.links.get(receiver)
--- a/packages/standins/src/kumquathold_standins/capacity.py
+++ b/packages/standins/src/kumquathold_standins/capacity.py
@@ -74,6 +74,11 @@
         )
 
 
+def _tellings() -> int:
+    """How often a node tells each change."""
+    return math.ceil(members.RETRANSMIT_FACTOR * math.log2(NODES + 1))
+
+
 def at(slope: dict[str, Any], size: float) -> float:
     """A slope's figure at a size."""
     return float(slope['fixed'] + slope['per_unit'] * size)
@@ -125,7 +130,7 @@
 
 def rumour_bytes(tables: dict[str, Any], updates_a_second: float) -> float:
     """KiB a second that one node sends to spread updates."""
-    times = members.RETRANSMIT_FACTOR * math.ceil(math.log2(NODES + 1))
+    times = _tellings()
     return updates_a_second * times * tables['rumour_bytes'] / KIB
 
 
@@ -175,7 +180,7 @@
             'peer',
             'restarts and failures told, KiB/s',
             rumour_bytes(tables, restarts / DAY_SECONDS),
-            f'{RECORDS_A_RESTART} records each × 44 tellings',
+            f'{RECORDS_A_RESTART} records each × {_tellings()} tellings',
         ),
         Figure(
             'peer',
@@ -318,13 +323,13 @@
             'zone lost',
             'told by each node, KiB',
             rumour_bytes(tables, 2 * lost),
-            'suspected and dead, each record × 44 tellings',
+            f'suspected and dead, each record × {_tellings()} tellings',
         ),
         Figure(
             'region cut and healed',
             'told by each node, KiB',
             rumour_bytes(tables, 3 * NODES),
-            'suspected, dead and refuted, all records × 44 tellings',
+            f'suspected, dead and refuted, all × {_tellings()} tellings',
         ),
     ]
 
--- a/tests/test_rate_election.py
+++ b/tests/test_rate_election.py
@@ -145,5 +145,6 @@
             regions=('north', 'east'),
             rate_groups=GROUPS,
             rate_term=TERM,
+            rate_standing=TERM,
         )
         return RateElection(kernel, settings)  # type: ignore[arg-type]
--- a/tests/test_rules_file.py
+++ b/tests/test_rules_file.py
@@ -39,6 +39,12 @@
     (f'route GET /x service=s stale=maybe {ASKED}', 'not known here'),
     (f'route GET /x service=s twice {ASKED}', 'unknown word'),
     (f'route GET /x service=s once {ASKED}', 'either "once" or'),
+    (f'route GET /x service=s host=Shop {ASKED}', 'no host'),
+    (f'route GET /x service=s attempts=0 {ASKED}', 'no whole number'),
+    (f'route GET /x service=s priority=-1 {ASKED}', 'no rank'),
+    (f'route GET /x service=s objective=2 {ASKED}', 'no time'),
+    (f'route GET /x service=s:9,t:1 {ASKED}', 'no service'),
+    (f'route GET /x service=s:0,s:1 {ASKED}', 'no whole number'),
     (f'workspace v rate=0 burst=1 {ASKED}', 'no rate'),
     (f'workspace v rate=nan burst=1 {ASKED}', 'no rate'),
     (f'workspace v rate=1 burst=0 {ASKED}', 'no whole number'),
@@ -126,6 +132,21 @@
         self.assertEqual(workspace.weight, 3)
         self.assertEqual(rules.keys['k'].digest, bytes.fromhex('ab' * 32))
 
+    def test_words_of_hosts_parts_and_ranks_are_read(self) -> None:
+        rules = parse_rules(
+            f'service s {ASKED}\nservice t {ASKED}\n'
+            f'route GET /a/* service=s:95,t:5 host=shop.example:8080 '
+            f'objective=2s attempts=2 priority=3 {ASKED}\n'
+            f'workspace w rate=1 burst=1 priority=0 {ASKED}\n',
+        )
+        (route,) = rules.routes
+        self.assertEqual(route.services, ('s', 't'))
+        self.assertEqual([part.weight for part in route.split], [95, 5])
+        self.assertEqual(route.host, 'shop.example:8080')
+        self.assertEqual((route.objective, route.attempts), (2.0, 2))
+        self.assertEqual(route.priority, 3)
+        self.assertEqual(rules.workspaces['w'].priority, 0)
+
     def test_keys_are_known_by_digest(self) -> None:
         rules = parse_rules(make_rules())
         known = authenticate_key(rules, KEYS['dealers'])
