--- a/packages/node/src/kumquathold_node/rate_election.py
+++ b/packages/node/src/kumquathold_node/rate_election.py
@@ -30,7 +30,7 @@
 MAX_KEEP_ALIVE_SECONDS = 60.0
 WRITES_PER_SWAP = 16
 EXTENSION_SECONDS = 1.5
-PAUSE_SECONDS = 1.0
+PAUSE_SECONDS = 2.0
 STOP_SECONDS = 2.0
 
 
@@ -67,7 +67,8 @@
         self.lease: Lease | None = None
         self.valid_until = 0.0
         self.kept_alive_at = 0.0
-        self.looked_at = boot_time()
+        self.checked_at = boot_time()
+        self.failed_at = 0.0
         self.paused_at = 0.0
         self.started_at = monotonic()
         self.read_at = -READ_AGAIN_SECONDS
@@ -86,13 +87,18 @@
         """Keep the lease alive, and take groups that nobody holds."""
         if self.is_stopping:
             return
+        began_at = boot_time()
+        if began_at - self.checked_at > PAUSE_SECONDS:
+            self.paused_at = began_at
         try:
             self._keep_alive()
             self._take_free_groups()
         except PlatformError as error:
+            self.failed_at = began_at
             self.metrics.count('rates.store_unavailable')
             logger.debug('rate election waits', cause=str(error))
         self._extend()
+        self.checked_at = boot_time()
 
     def hand_back(self) -> None:
         """Stop granting, then free the groups for other nodes."""
@@ -142,26 +148,21 @@
         """Let the holder grant on, unless the lease may be another's now.
 
         While the store does not answer this node, the groups stay its own: a
-        node that is heard keeps them. After a pause the first answer of the
-        store decides.
+        node that is heard keeps them. After a pause of this process the first
+        answer of the store decides.
         """
         since = boot_time() - self.kept_alive_at
-        has_paused = since > self.settings.rate_term and self._was_paused()
-        is_standing = since < self.settings.rate_standing and not has_paused
-        if not self.ready_at or not is_standing:
+        is_unanswered = self.failed_at > self.kept_alive_at
+        has_paused = self.paused_at > self.kept_alive_at
+        is_standing = is_unanswered and not has_paused
+        limit = self.settings.rate_term
+        if is_standing:
+            limit = max(limit, self.settings.rate_standing)
+        if not self.ready_at or since >= limit:
             return
         self.valid_until = monotonic() + EXTENSION_SECONDS
         self._publish()
 
-    def _was_paused(self) -> bool:
-        """Whether this process stood still since the last look."""
-        now = boot_time()
-        gap = now - self.looked_at
-        self.looked_at = now
-        if gap > PAUSE_SECONDS:
-            self.paused_at = now
-        return self.paused_at > self.kept_alive_at
-
     def _take_free_groups(self) -> None:
         now = monotonic()
         if now - self.read_at < READ_AGAIN_SECONDS:
@@ -275,7 +276,6 @@
             asked_at = boot_time()
             self.lease = self.platform.grant_lease(self.settings.rate_term)
             self.kept_alive_at = asked_at
-            self.looked_at = asked_at
             self.valid_until = monotonic() + EXTENSION_SECONDS
         return self.lease
 
