Deliver answers that are ready when a sending stops; overrule an earlier life

Cause: an answer that arrived while its sending was being stopped was dropped for a 504; a node whose time of day went back between two lives was ignored by its peers. Both found by reading. Tests failed first.

--- a/packages/core/src/kumquathold_core/members.py
+++ b/packages/core/src/kumquathold_core/members.py
@@ -168,9 +168,16 @@
 
     def _merge_own(self, rumour: Rumour, now: float) -> bool:
         told = rumour.record
-        is_other_life = told.incarnation > self.own.incarnation
-        if is_other_life or told.incarnation < self.own.incarnation:
+        if told.incarnation < self.own.incarnation:
             return False
+        if told.incarnation > self.own.incarnation:
+            # The time of day went back between two lives of this address.
+            self.own = msgspec.structs.replace(
+                self.own,
+                incarnation=told.incarnation + 1,
+            )
+            self.update_own(now)
+            return True
         is_wrong = rumour.health != Health.alive
         if is_wrong and told.version >= self.own.version:
             self.own = msgspec.structs.replace(
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -423,6 +423,10 @@
         now = monotonic()
         for rumour in rumours:
             self.table.merge(rumour, now)
+        incarnation = self.table.own.incarnation
+        if incarnation != self.transport.incarnation:
+            logger.warning('incarnation raised', incarnation=incarnation)
+            self.transport.incarnation = incarnation
         self._refresh_view()
 
     def _spread_now(self) -> None:
--- a/packages/node/src/kumquathold_node/sending.py
+++ b/packages/node/src/kumquathold_node/sending.py
@@ -253,7 +253,7 @@
         self,
         mailbox: Mailbox,
         hearing: float,
-    ) -> Failure | None:
+    ) -> CallerAnswer | Failure | None:
         now = monotonic()
         admitted = self.admitted
         is_slow = now - self.started_at > self.choice.slow_limit
@@ -305,8 +305,15 @@
         node = self.context.membership.view.by_address.get(self.owner)
         return node is None or node.incarnation != self.owner_incarnation
 
-    def _stop(self, mailbox: Mailbox, reason: Refusal) -> Failure:
-        """Cancel the request, and learn whether it ran."""
+    def _stop(
+        self,
+        mailbox: Mailbox,
+        reason: Refusal,
+    ) -> CallerAnswer | Failure:
+        """Cancel the request, and learn whether it ran.
+
+        An answer that is ready is delivered, also late.
+        """
         self._say(
             work.WorkCancelled(
                 request=self.request,
@@ -320,7 +327,7 @@
             except queue.Empty:
                 break
             if isinstance(event, Answered):
-                return Failure(Outcome.ran, reason)
+                return self._on_answered(event)
             if isinstance(event, work.WorkFailed):
                 return Failure(event.outcome, reason)
         return Failure(Outcome.unknown, reason)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -78,6 +78,14 @@
         told = table.rumour_of(own.address)
         self.assertEqual(told.health, Health.alive)
 
+    def test_life_that_began_with_a_clock_set_back_overrules(self) -> None:
+        table = MemberTable(record(1, incarnation=5), 0.0)
+        earlier = Rumour(record(1, incarnation=9, version=3), Health.alive)
+        self.assertTrue(table.merge(earlier, 1.0))
+        told = table.rumour_of(table.own.address)
+        self.assertGreater(told.record.incarnation, 9)
+        self.assertFalse(table.merge(earlier, 2.0))
+
     def test_suspects_die_and_are_forgotten_in_time(self) -> None:
         table = MemberTable(record(1), 0.0)
         table.merge(Rumour(record(2), Health.alive), 0.0)
--- /dev/null
+++ b/tests/test_sending.py
@@ -0,0 +1,56 @@
+"""A sending that is stopped while its answer is on the way."""
+
+from __future__ import annotations
+
+import queue
+import unittest
+from unittest import mock
+
+from kumquathold_core import work
+from kumquathold_core.retries import Failure
+from kumquathold_core.work import Outcome, Refusal
+from kumquathold_node.caller_requests import CallerAnswer
+from kumquathold_node.exchanges import Answered, Mailbox
+from kumquathold_node.sending import Sending
+
+
+class StoppingTest(unittest.TestCase):
+    """Ready answers are delivered, also late."""
+
+    def setUp(self) -> None:
+        context = mock.MagicMock()
+        context.transport.address = '10.0.0.1:7400'
+        context.transport.incarnation = 5
+        context.numbers = iter(range(1, 9))
+        admitted = mock.MagicMock()
+        admitted.request.body = b''
+        self.sending = Sending(context, admitted, mock.MagicMock(), 0)
+        self.mailbox: Mailbox = queue.SimpleQueue()
+
+    def stop(self) -> CallerAnswer | Failure:
+        """Stop the sending at its deadline."""
+        return self.sending._stop(self.mailbox, Refusal.deadline_passed)
+
+    def test_answer_that_is_ready_is_delivered(self) -> None:
+        answer = work.AnswerReady(
+            request=self.sending.request,
+            status=200,
+            headers=(),
+            service_seconds=0.4,
+            queued_seconds=0.0,
+            backlog=0,
+            risk=0.0,
+            replayed=False,
+            body_bytes=5,
+            body_digest=b'',
+            body=b'ready',
+        )
+        self.mailbox.put(Answered(answer, b'ready'))
+        ended = self.stop()
+        assert isinstance(ended, CallerAnswer)  # noqa: S101
+        self.assertEqual((ended.status, ended.body), (200, b'ready'))
+
+    def test_without_an_answer_the_outcome_is_as_known(self) -> None:
+        ended = self.stop()
+        assert isinstance(ended, Failure)  # noqa: S101
+        self.assertEqual(ended.outcome, Outcome.unknown)
--- /dev/null
+++ b/tests/test_site_node.py
@@ -0,0 +1,266 @@
+"""A node as the users run it, between stand-ins of their store and target."""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+import json
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from kumquathold_standins.fleet import free_port, local, wait_until
+from tests.site_store import SiteStore, serving_store
+from tests.site_target import INSTANCE, SEAL, SiteTarget, serving_target
+from tests.test_site_platform import SECRET, make_config
+
+ROOT = Path(__file__).parent.parent
+GRACE_SECONDS = 6
+BORN = 1_780_339_603_000
+KEY = {'Api-Key': SECRET}
+NAMES = ('peer', 'admin', 'callers', 'announce', 'health', 'metrics')
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b'',
+    headers: dict[str, str] | None = None,
+) -> Reply:
+    """Make a call on a connection of its own."""
+    connection = http.client.HTTPConnection(address, timeout=10)
+    try:
+        connection.request(method, path, body or None, headers or {})
+        response = connection.getresponse()
+        named = {key.lower(): text for key, text in response.getheaders()}
+        return Reply(response.status, named, response.read())
+    finally:
+        connection.close()
+
+
+class SiteNode:
+    """A started node and what surrounds it."""
+
+    def __init__(self, store: SiteStore, target: SiteTarget) -> None:
+        self.store = store
+        self.target = target
+        self.addresses = {name: local(free_port()) for name in NAMES}
+        self.target_address = ''
+        self.sequence = itertools.count(1)
+        self.ids = itertools.count(1)
+
+    def start(self, store: str, log: Path) -> None:
+        """Start the process that the deploy file starts."""
+        flags = {
+            **self.addresses,
+            'platform': store,
+            'zone': 'ub-a',
+            'region': 'ulaanbaatar',
+            'regions': 'ulaanbaatar,darkhan,ulaanbaatar',
+            'store-region': 'ulaanbaatar',
+            'service': 'holds',
+            'grace': GRACE_SECONDS,
+            'rate-groups': 2,
+            'rate-term': 6,
+            'quiet': 0.3,
+            'fleet-secret': 'a-secret-for-this-test-only',
+            'operator-secret': 'another-secret-for-this-test',
+        }
+        arguments = [sys.executable, str(ROOT / 'platform' / 'node.py')]
+        for flag, given in flags.items():
+            arguments.extend((f'--{flag}', str(given)))
+        with log.open('wb') as out:
+            self.process = subprocess.Popen(
+                arguments,
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=out,
+            )
+
+    def is_ready(self) -> bool:
+        """Whether it says that it takes requests."""
+        path = '/api/readiness'
+        return call(self.addresses['health'], 'GET', path).status == 200
+
+    def beat(self, **status: Any) -> int:
+        """Announce the target; gives the status."""
+        body = {
+            'address': self.target_address,
+            'born': BORN,
+            'info': {'service': 'catalog', 'slots': 4},
+            'status': {
+                'state': 'ready',
+                'sequence': next(self.sequence),
+                **status,
+            },
+        }
+        path = f'/api/instances/{INSTANCE}/heartbeat'
+        raw = json.dumps(body).encode()
+        return call(self.addresses['announce'], 'POST', path, raw).status
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Send a caller's request with an id of its own."""
+        named = {
+            'Host': 'shop.example',
+            'X-Kumquathold-Request-Id': f'id-{next(self.ids)}',
+            'X-Kumquathold-Deadline-Ms': '5000',
+            **(KEY if headers is None else headers),
+        }
+        return call(self.addresses['callers'], method, path, body, named)
+
+
+@contextmanager
+def running_node() -> Iterator[SiteNode]:
+    """Run a node between its stand-ins while the block runs."""
+    node = SiteNode(SiteStore(), SiteTarget())
+    config = json.loads(make_config())
+    for route in config['routes']:
+        route['service'] = 'catalog'
+        route['weightedServices'] = []
+    node.store.put('op/config', json.dumps(config).encode())
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        serving_store(node.store) as store,
+        serving_target(node.target) as target,
+    ):
+        node.target_address = target
+        node.start(store, Path(directory) / 'node.log')
+        try:
+            wait_until(node.is_ready, 'readiness')
+            wait_until(lambda: node.beat() == 200, 'announcement')
+            wait_until(
+                lambda: node.send('GET', '/holds/open/first').status == 200,
+                'first answer',
+            )
+            wait_until(
+                lambda: node.send('POST', '/holds/first').status == 200,
+                'first token',
+            )
+            yield node
+        finally:
+            node.process.kill()
+            node.process.wait()
+
+
+class SiteNodeTest(unittest.TestCase):
+    """The whole path in the users' words."""
+
+    node: SiteNode
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.node = cls.enterClassContext(running_node())
+
+    def test_request_arrives_as_it_should(self) -> None:
+        forged = {'X-Kumquathold-Tenant-Id': 'else', **KEY}
+        reply = self.node.send('POST', '/holds/a?b=c', b'body', forged)
+        self.assertEqual((reply.status, reply.body), (200, b'ran body'))
+        self.assertEqual(reply.headers['x-kumquathold-response-seal'], SEAL)
+        (headers,) = self.node.target.seen('/holds/a?b=c')
+        self.assertEqual(headers['x-kumquathold-tenant-id'], 'dealer')
+        self.assertEqual(headers['x-kumquathold-caller-service'], 'holds')
+        self.assertEqual(headers['x-kumquathold-expect-instance'], INSTANCE)
+        self.assertEqual(headers['host'], 'shop.example')
+        self.assertLessEqual(int(headers['x-kumquathold-deadline-ms']), 5000)
+        self.assertNotIn(SECRET, str(headers))
+
+    def test_refusals_have_their_statuses(self) -> None:
+        cases: tuple[tuple[str, dict[str, str], int], ...] = (
+            ('/nowhere/', KEY, 404),
+            ('/holds/a', {}, 401),
+            ('/holds/a', {'Api-Key': 'unknown'}, 401),
+            ('/holds/shed', KEY, 503),
+            ('/holds/busy', KEY, 502),
+            ('/holds/unsealed', KEY, 502),
+            ('/holds/foreign', KEY, 502),
+        )
+        for path, headers, status in cases:
+            reply = self.node.send('POST', path, b'x', headers)
+            self.assertEqual(reply.status, status, path)
+        self.assertEqual(len(self.node.target.seen('/holds/busy')), 1)
+
+    def test_large_bodies_are_refused_unread(self) -> None:
+        reply = self.node.send('POST', '/holds/large', b'x' * 2000)
+        self.assertEqual(reply.status, 413)
+
+    def test_answers_of_others_are_not_passed_on(self) -> None:
+        for number in range(4):
+            path = f'/holds/open/{number}/extra'
+            self.assertEqual(self.node.send('GET', path).body, b'ran ')
+
+    def test_new_version_is_in_force_within_two_seconds(self) -> None:
+        before = self.node.send('GET', '/added/x', headers={})
+        self.assertEqual(before.status, 404)
+        config = json.loads(make_config(configVersion='0000000d'))
+        for route in config['routes']:
+            route['service'] = 'catalog'
+            route['weightedServices'] = []
+        added = {**config['routes'][1], 'pathPrefix': '/added/'}
+        config['routes'].append(added)
+        self.node.store.put('op/config', json.dumps(config).encode())
+        seconds = wait_until(
+            lambda: self.node.send('GET', '/added/x').status == 200,
+            'new route',
+        )
+        self.assertLess(seconds, 2)
+
+    def test_metrics_are_histograms(self) -> None:
+        self.node.send('GET', '/holds/open/m')
+        page = call(self.node.addresses['metrics'], 'GET', '/metrics').body
+        self.assertIn(b'kumquathold_ingress_request_seconds_bucket', page)
+        self.assertIn(b'kumquathold_ingress_answered_total', page)
+
+
+class SiteLeavingTest(unittest.TestCase):
+    """Targets and nodes that leave."""
+
+    def test_leaving_target_gets_nothing_after_the_acknowledgement(
+        self,
+    ) -> None:
+        with running_node() as node:
+            self.assertEqual(node.beat(state='draining'), 200)
+            reply = node.send('POST', '/holds/late', b'x')
+            self.assertEqual(reply.status, 503)
+            # A delayed heartbeat from before changes nothing.
+            self.assertEqual(node.beat(sequence=0), 200)
+            self.assertEqual(node.send('POST', '/holds/late').status, 503)
+            self.assertEqual(node.target.seen('/holds/late'), [])
+
+    def test_other_target_at_the_address_runs_nothing(self) -> None:
+        with running_node() as node:
+            node.target.instance = 'i-other'
+            reply = node.send('POST', '/holds/moved', b'x')
+            self.assertEqual(reply.status, 503)
+            self.assertEqual(node.target.seen('/holds/moved'), [])
+
+    def test_node_ends_by_itself_within_its_grace(self) -> None:
+        with running_node() as node:
+            started_at = time.monotonic()
+            node.process.send_signal(signal.SIGTERM)
+            wait_until(lambda: not node.is_ready(), 'no longer ready')
+            self.assertEqual(node.process.wait(GRACE_SECONDS), 0)
+            self.assertLess(time.monotonic() - started_at, GRACE_SECONDS)
