Ask one function whether a node is ready; serve the tests' stand-ins by one

The administration's health page worked out readiness beside the health address; the stand-ins of store and target started their servers each by itself; a constant was left over. No behaviour changes. Run: lint, and the 35 tests of the adapter, the node on the users' platform and the command line.

--- a/packages/node/src/kumquathold_node/administration.py
+++ b/packages/node/src/kumquathold_node/administration.py
@@ -24,6 +24,7 @@
 from kumquathold_node.callers import Door, StartResponse, WsgiApp
 from kumquathold_node.configuration import ConfigurationService
 from kumquathold_node.freshness_service import FreshnessService
+from kumquathold_node.health import is_ready
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import Membership, PingWanted
 from kumquathold_node.metrics import Metrics
@@ -110,8 +111,7 @@
 def show_health(kernel: Kernel, _: OperatorCall) -> Reply:
     """200 while the node takes work, else 503."""
     door: Door = kernel.find('door')
-    config: ConfigurationService = kernel.find('configuration')
-    is_up = not door.is_leaving and config.current.version > 0
+    is_up = is_ready(kernel)
     status = HTTPStatus.OK if is_up else HTTPStatus.SERVICE_UNAVAILABLE
     state = 'up' if is_up else 'starting'
     content = {'state': 'leaving' if door.is_leaving else state}
--- a/tests/site_store.py
+++ b/tests/site_store.py
@@ -11,11 +11,11 @@
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from http.server import BaseHTTPRequestHandler
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-SERVER_POLL_SECONDS = 0.02
+from tests.loopback import serving
 
 
 class Call:
@@ -211,16 +211,5 @@
             self.end_headers()
             self.wfile.write(encoded)
 
-    server = ThreadingHTTPServer(('127.0.0.1', 0), Handler)
-    server.daemon_threads = True
-    thread = threading.Thread(
-        target=server.serve_forever,
-        args=(SERVER_POLL_SECONDS,),
-        daemon=True,
-    )
-    thread.start()
-    try:
-        yield f'127.0.0.1:{server.server_port}'
-    finally:
-        server.shutdown()
-        server.server_close()
+    with serving(Handler) as address:
+        yield address
--- a/tests/site_target.py
+++ b/tests/site_target.py
@@ -8,9 +8,10 @@
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from http.server import BaseHTTPRequestHandler
+
+from tests.loopback import serving
 
-SERVER_POLL_SECONDS = 0.02
 INSTANCE = 'i-7f3a'
 SEAL = '3e1b.07.5a2'
 REQUEST_ID = 'X-Kumquathold-Request-Id'
@@ -99,15 +100,5 @@
             self.end_headers()
             self.wfile.write(body)
 
-    server = ThreadingHTTPServer(('127.0.0.1', 0), Handler)
-    server.daemon_threads = True
-    threading.Thread(
-        target=server.serve_forever,
-        args=(SERVER_POLL_SECONDS,),
-        daemon=True,
-    ).start()
-    try:
-        yield f'127.0.0.1:{server.server_port}'
-    finally:
-        server.shutdown()
-        server.server_close()
+    with serving(Handler) as address:
+        yield address
