--- a/packages/node/src/kumquathold_node/jobs.py
+++ b/packages/node/src/kumquathold_node/jobs.py
@@ -140,38 +140,3 @@
             risk=self.suspicion.risk(now),
             is_trial_due=self.suspicion.is_trial_due(now),
         )
-
-
-def find_predecessors(
-    upstreams: dict[str, Upstream],
-    record: UpstreamRecord,
-) -> list[Upstream]:
-    """The upstreams whose name or address has a new process."""
-    return [
-        known
-        for name, known in upstreams.items()
-        if _is_succeeded(name, known.record, record)
-    ]
-
-
-def _is_succeeded(
-    name: str,
-    known: UpstreamRecord,
-    record: UpstreamRecord,
-) -> bool:
-    if name == record.name:
-        return known.lifetime < record.lifetime
-    return known.address == record.address
-
-
-def is_outlived(
-    upstreams: dict[str, Upstream],
-    record: UpstreamRecord,
-) -> bool:
-    """Whether a later process has the address of an announced upstream."""
-    return any(
-        known.record.address == record.address
-        and known.record.lifetime > record.lifetime
-        for name, known in upstreams.items()
-        if name != record.name
-    )
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -19,7 +19,6 @@
     admission,
     assembly,
     crashes,
-    lifetimes,
     wire,
     work,
 )
@@ -33,11 +32,9 @@
     CallFailures,
     Job,
     Upstream,
-    find_predecessors,
-    is_outlived,
 )
 from kumquathold_node.kernel import Kernel, Task
-from kumquathold_node.membership import Membership, UpstreamsChanged
+from kumquathold_node.membership import Membership
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner_replies import OwnerReplies, make_failure
 from kumquathold_node.transport import Transport
@@ -46,6 +43,7 @@
     UpstreamAnswer,
     UpstreamCalls,
 )
+from kumquathold_node.upstream_roster import UpstreamRoster
 
 if TYPE_CHECKING:
     from kumquathold_core.identity import RequestId
@@ -85,8 +83,6 @@
 
     def __init__(self, kernel: Kernel, dialect: UpstreamDialect) -> None:
         """Find the services that are needed, and register."""
-        self.dialect = dialect
-        self.lifetimes = lifetimes.Lifetimes()
         self.call_failures: CallFailures = kernel.find('call-failures')
         self.transport: Transport = kernel.find('transport')
         self.membership: Membership = kernel.find('membership')
@@ -96,7 +92,12 @@
         self.memory = RequestMemory()
         self.assembler = assembly.Assembler()
         self.opening: dict[RequestId, Job] = {}
-        self.upstreams: dict[str, Upstream] = {}
+        self.roster = UpstreamRoster(
+            kernel,
+            dialect,
+            self._refuse_waiting,
+        )
+        self.upstreams = self.roster.upstreams
         self.jobs: dict[RequestId, Job] = {}
         self.marks = crashes.CrashMarks()
         self.is_leaving = False
@@ -234,30 +235,11 @@
 
     def on_announced(self, announced: Announced) -> None:
         """Take in what an upstream says of itself."""
-        record = announced.record
-        is_news = self.lifetimes.admit(
-            record.name,
-            announced.sighting,
-            leaving=record.leaving,
-        ) and not is_outlived(self.upstreams, record)
-        if not is_news:
-            self.metrics.count('owner.announcements_late')
+        upstream = self.roster.announce(announced)
+        if upstream is None:
             announced.reply.set_result((0, 0))
             return
-        for older in find_predecessors(self.upstreams, record):
-            self._forget(older)
-        upstream = self.upstreams.get(record.name)
-        if upstream is None:
-            upstream = Upstream(record, announced.expires_at, self.dialect)
-            self.upstreams[record.name] = upstream
-            self._tell_upstreams()
-            logger.info('upstream announced', **msgspec.structs.asdict(record))
-        upstream.expires_at = announced.expires_at
-        if upstream.record != record:
-            upstream.record = record
-            self._tell_upstreams()
-            logger.info('upstream changed', **msgspec.structs.asdict(record))
-        if record.leaving:
+        if upstream.record.leaving:
             self._refuse_waiting(upstream)
         self._start_waiting(upstream)
         announced.reply.set_result(
@@ -266,26 +248,13 @@
 
     def on_deregistered(self, deregistered: Deregistered) -> None:
         """Send an upstream no further work; what runs there goes on."""
-        self.lifetimes.leave(deregistered.name, deregistered.lifetime)
-        upstream = self.upstreams.get(deregistered.name)
+        upstream = self.roster.deregister(deregistered)
         in_use = 0
         if upstream is not None:
             in_use = upstream.in_use
-            upstream.record = msgspec.structs.replace(
-                upstream.record,
-                leaving=True,
-            )
             self._refuse_waiting(upstream)
-            self._tell_upstreams()
-            logger.info('upstream deregistered', upstream=deregistered.name)
         deregistered.reply.set_result((in_use, 0))
 
-    def _forget(self, upstream: Upstream) -> None:
-        self._refuse_waiting(upstream)
-        upstream.calls.close()
-        self.upstreams.pop(upstream.record.name, None)
-        self._tell_upstreams()
-
     def _refuse_waiting(self, upstream: Upstream) -> None:
         for job in upstream.queue.items():
             upstream.queue.remove(job)
@@ -362,7 +331,7 @@
         self._free_slot(job)
         self.metrics.count(f'owner.failed.{failure.reason.value}')
         if failure.crashed or failure.reason == Refusal.upstream_unreachable:
-            self._note_down(job.work.upstream)
+            self.roster.note_down(job.work.upstream)
         if failure.crashed and not self.marks.is_proven(
             job.fingerprint,
             monotonic(),
@@ -398,15 +367,12 @@
             if job is not None:
                 self._fail(job, Outcome.not_run, Refusal.malformed)
         self.memory.expire(now)
-        for name, upstream in list(self.upstreams.items()):
+        for upstream in list(self.upstreams.values()):
             for job in upstream.find_too_late(now):
                 upstream.queue.remove(job)
                 self._fail(job, Outcome.not_run, Refusal.overloaded)
             self._start_waiting(upstream)
-            is_silent = upstream.expires_at <= now
-            if is_silent and not upstream.in_use and not upstream.queue.size:
-                logger.info('upstream vanished', upstream=name)
-                self._forget(upstream)
+        self.roster.drop_vanished(now)
 
     def _assemble(
         self,
@@ -589,21 +555,6 @@
         self.memory.keep_failure(failure)
         self.transport.try_send(job.reply_to, failure)
 
-    def _note_down(self, name: str) -> None:
-        """Take an upstream that refuses connections out until it announces.
-
-        That is no gray failure: the floor counts only what is there.
-        """
-        upstream = self.upstreams.get(name)
-        if upstream is None or not upstream.record.ready:
-            return
-        self.metrics.count('owner.upstreams_down')
-        upstream.record = msgspec.structs.replace(
-            upstream.record,
-            ready=False,
-        )
-        self._tell_upstreams()
-
     def _spread_crash(self, job: Job) -> None:
         count = self.marks.add(
             job.fingerprint,
@@ -624,10 +575,6 @@
         for peer in self.membership.table.peers():
             self.transport.try_send(peer, seen)
 
-    def _tell_upstreams(self) -> None:
-        records = tuple(one.record for one in self.upstreams.values())
-        self.membership.task.post(UpstreamsChanged(records))
-
 
 def _backlog_of(upstream: Upstream | None) -> int:
     if upstream is None:
