Try upstreams that join; avoid slow ones for a spell

Ruled out: pricing by the upstream's own mean time, which is the mix of the routes it served; the ratio to the route's usual time is not.

Change: an unknown upstream of the own zone gets one idempotent request that has a retry left; slowness counts in the price and relaxes within a spell.

--- /dev/null
+++ b/packages/core/src/kumquathold_core/means.py
@@ -0,0 +1,26 @@
+"""Smoothed quantities of requests."""
+
+from __future__ import annotations
+
+GAIN = 0.2
+"""Weight of the newest request in a smoothed quantity."""
+
+
+class RouteMeans:
+    """A smoothed quantity of each route's requests."""
+
+    __slots__ = ('known', 'usual')
+
+    def __init__(self, usual: float) -> None:
+        """Start with what is usual."""
+        self.usual = usual
+        self.known: dict[str, float] = {}
+
+    def of(self, route: str) -> float:
+        """What is known of a route."""
+        return self.known.get(route, self.usual)
+
+    def note(self, route: str, quantity: float) -> None:
+        """Take in one request."""
+        known = self.known.get(route, quantity)
+        self.known[route] = known + GAIN * (quantity - known)
--- a/packages/core/src/kumquathold_core/placement.py
+++ b/packages/core/src/kumquathold_core/placement.py
@@ -7,21 +7,24 @@
 
 - waiting costs little while the answer still meets the route's objective, and
   most of the worth beyond it; the wait is the backlog that the upstream's
-  owner last told, less what has been served since;
+  owner last told, less what has been served since, and the time of the
+  request itself where the upstream is slower than the others;
 - a failure costs all of it, less where the request can be repeated;
 - each kilobyte that leaves the zone or the region has a toll.
 
 An owner corrects a wrong price by refusing at once, and the request is priced
-anew.
+anew. An upstream of the zone that nothing is known of, and one that failed
+lately, get one idempotent request at a time to try them.
 """
 
 from __future__ import annotations
 
+import math
 import random
 
 import msgspec
 
-from kumquathold_core import suspicion
+from kumquathold_core import means, suspicion
 from kumquathold_core.balancing import Candidate, rank_distance
 from kumquathold_core.rules import ZoneChoice
 
@@ -34,6 +37,7 @@
 TOLL_PER_KILOBYTE = (0.0, 0.05, 0.09)
 TOLL_BASE = (0.0, 0.05, 0.08)
 USUAL_SECONDS = 0.3
+MIN_SERVICE_SECONDS = 0.001
 FAR_BACKLOG_SHARE = 0.5
 DEFAULT_OBJECTIVE_SECONDS = 1.0
 TIE_PRICE = 0.02
@@ -58,12 +62,41 @@
     service_seconds: float = USUAL_SECONDS
     """Smoothed time of a request."""
 
+    slowness: float = 1.0
+    """Smoothed time of a request, as a multiple of its route's usual time."""
+
+    measured_at: float = 0.0
+    """When a request was last timed."""
+
+    @property
+    def is_unknown(self) -> bool:
+        """Whether its owner has not told anything yet."""
+        return not self.told_at
+
     def tell(self, backlog: int, risk: float, now: float) -> None:
         """Take in what an owner said."""
         self.backlog = backlog
         self.told_at = now
         self.risk = risk
 
+    def measure(self, seconds: float, usual: float, now: float) -> None:
+        """Take in how long a request took, and usually takes elsewhere."""
+        gained = means.GAIN * (seconds - self.service_seconds)
+        self.service_seconds = max(
+            self.service_seconds + gained,
+            MIN_SERVICE_SECONDS,
+        )
+        known = self.slowness_at(now)
+        ratio = seconds / max(usual, MIN_SERVICE_SECONDS)
+        self.slowness = known + means.GAIN * (ratio - known)
+        self.measured_at = now
+
+    def slowness_at(self, now: float) -> float:
+        """The slowness, relaxed since: slow spells end by themselves."""
+        age = max(0.0, now - self.measured_at)
+        excess = self.slowness - 1
+        return 1 + excess * math.exp(-age / suspicion.SPELL_SECONDS)
+
     def risk_at(self, now: float) -> float:
         """The chance that the next request fails, relaxed since."""
         return suspicion.relax(self.risk, now - self.told_at)
@@ -84,6 +117,9 @@
     objective: float = DEFAULT_OBJECTIVE_SECONDS
     """Seconds within which the answer is worth most."""
 
+    usual_seconds: float = USUAL_SECONDS
+    """How long a request of its route usually runs."""
+
     idempotent: bool = False
     """Whether a second run does no harm."""
 
@@ -120,6 +156,26 @@
     return waiting * seconds / candidate.slots
 
 
+def is_due_for_trial(
+    candidate: Candidate,
+    report: LoadReport,
+    errand: Errand,
+    now: float,
+) -> bool:
+    """Whether this request should try an upstream, its price aside.
+
+    Tried are upstreams that failed lately, and those of the own zone that
+    nothing is known of: whoever joins would otherwise get nothing while
+    others are known to be good.
+    """
+    is_stale = now - report.told_at >= suspicion.TRIAL_SECONDS
+    if not errand.may_try or not is_stale or report.in_flight:
+        return False
+    is_near = candidate.zone == errand.zone
+    is_suspect = report.risk_at(now) > suspicion.SUSPECT_RISK
+    return is_suspect or (report.is_unknown and is_near)
+
+
 def price(
     candidate: Candidate,
     report: LoadReport,
@@ -133,21 +189,21 @@
     repeated loses less by a failure, so that such requests are the ones that
     try an upstream that failed lately.
     """
-    risk = report.risk_at(now)
-    is_stale = now - report.told_at >= suspicion.TRIAL_SECONDS
-    if errand.may_try and risk > suspicion.SUSPECT_RISK and is_stale:
+    if is_due_for_trial(candidate, report, errand, now):
         return errand.toll(candidate) - TRIAL_BONUS
     backlog = expect_backlog(candidate, report, now)
-    if is_stale:
+    if now - report.told_at >= suspicion.TRIAL_SECONDS:
         backlog = max(backlog, least_backlog)
-    seconds = report.service_seconds
-    wait = expect_wait(candidate, backlog, seconds)
+    wait = expect_wait(candidate, backlog, report.service_seconds)
+    usual = errand.usual_seconds
+    seconds = usual * report.slowness_at(now)
     failure = FAILURE_PRICE
     if errand.idempotent:
         failure = REPEATABLE_FAILURE_PRICE
+    risk = report.risk_at(now) * failure
     tie = TIE_PRICE * min(backlog / candidate.slots, 1)
-    delay = errand.delay(wait + seconds) - errand.delay(seconds)
-    return delay + errand.toll(candidate) + risk * failure + tie
+    delay = errand.delay(wait + seconds) - errand.delay(usual)
+    return delay + errand.toll(candidate) + risk + tie
 
 
 def cheapest(
--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -17,6 +17,7 @@
 from kumquathold_core import balancing, placement
 from kumquathold_core.balancing import Candidate, rank_distance
 from kumquathold_core.ejection import Evidence, Sample
+from kumquathold_core.means import RouteMeans
 from kumquathold_core.placement import Errand, LoadReport
 from kumquathold_core.rules import Service
 from kumquathold_core.suspicion import SUSPECT_RISK
@@ -26,11 +27,9 @@
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.settings import Settings
 
-LATENCY_GAIN = 0.2
 SHUNNED_SECONDS = 3.0
 AVOIDED_PATH_SECONDS = 2.0
 SUSPECT_EXPLORE_FACTOR = 10
-MIN_SERVICE_SECONDS = 0.001
 USUAL_KILOBYTES = 2.0
 MAX_SENT_ON = 5
 MAX_AGE_SECONDS = 1e6
@@ -120,7 +119,8 @@
         self.lock = threading.Lock()
         self.rng = random.Random(settings.peer)
         self.loads: dict[str, LoadReport] = {}
-        self.sizes: dict[str, float] = {}
+        self.sizes = RouteMeans(USUAL_KILOBYTES)
+        self.seconds = RouteMeans(placement.USUAL_SECONDS)
         self.explore_share = settings.explore_share
         self.evidence: dict[str, Evidence] = {}
         self.out: dict[str, set[str]] = {}
@@ -198,11 +198,9 @@
         upstream = choice.candidate.upstream
         with self.lock:
             load = self._load(upstream)
-            gain = LATENCY_GAIN * (seconds - load.service_seconds)
-            load.service_seconds = max(
-                load.service_seconds + gain,
-                MIN_SERVICE_SECONDS,
-            )
+            if not failed:
+                load.measure(seconds, self.seconds.of(route), now)
+                self.seconds.note(route, seconds)
             load.tell(told.backlog, told.risk, now)
             evidence = self._evidence(service.name)
             if counted:
@@ -233,6 +231,9 @@
         now = monotonic()
         sample = Sample(now, route, seconds, failed)
         with self.lock:
+            if not failed:
+                load = self._load(choice.candidate.upstream)
+                load.measure(seconds, self.seconds.of(route), now)
             evidence = self._evidence(service.name)
             evidence.note_outcome(
                 choice.candidate.upstream,
@@ -250,8 +251,7 @@
     def note_size(self, route: str, kilobytes: float) -> None:
         """Take in how much a request and its answer weighed."""
         with self.lock:
-            known = self.sizes.get(route, kilobytes)
-            self.sizes[route] = known + LATENCY_GAIN * (kilobytes - known)
+            self.sizes.note(route, kilobytes)
 
     def note_refusal(
         self,
@@ -401,7 +401,8 @@
         return Errand(
             zone=self.zone,
             region=self.region,
-            kilobytes=self.sizes.get(wish.route, USUAL_KILOBYTES),
+            kilobytes=self.sizes.of(wish.route),
+            usual_seconds=self.seconds.of(wish.route),
             objective=wish.objective,
             idempotent=wish.idempotent,
             may_try=wish.idempotent and wish.may_try,
