End a leaving node's process though upstreams still run its requests

Ruled out: callers that keep sending; the log has 'node stopped' a second before the end. Change: what still runs when the process ends is broken off, and the last answers' time is within the grace.

--- a/packages/node/src/kumquathold_node/leaving.py
+++ b/packages/node/src/kumquathold_node/leaving.py
@@ -15,7 +15,7 @@
 from kumquathold_node.callers import Door
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import Membership, NodeLeaving
-from kumquathold_node.owner import LeavingBegun, Owner
+from kumquathold_node.owner import LeavingBegun, Owner, ProcessEnding
 from kumquathold_node.rate_election import RateElection
 from kumquathold_node.settings import Settings
 
@@ -61,14 +61,20 @@
             name='rate-hand-back',
             daemon=True,
         ).start()
-        end_at = begun_at + min(WORK_LIMIT_SECONDS, self.grace * END_SHARE)
+        end_at = begun_at + self._patience()
         self._wait_for_quiet(begun_at, end_at)
         is_done = self._wait_for_work(end_at)
         self.door.shut()
         sleep(ANSWER_FLUSH_SECONDS)
         self._wait_for_work(monotonic() + ANSWER_FLUSH_SECONDS)
+        self.owner.task.post(ProcessEnding())
         logger.info('leaving done', all_finished=is_done)
 
+    def _patience(self) -> float:
+        """Seconds for what is in hand; the last answers need some more."""
+        within_grace = self.grace * END_SHARE - 2 * ANSWER_FLUSH_SECONDS
+        return min(WORK_LIMIT_SECONDS, within_grace)
+
     def _wait_for_quiet(self, begun_at: float, end_at: float) -> None:
         while monotonic() < end_at:
             latest = max(self.door.last_arrival, begun_at)
--- a/packages/standins/src/kumquathold_standins/soak_load.py
+++ b/packages/standins/src/kumquathold_standins/soak_load.py
@@ -138,10 +138,15 @@
         self.fleet = fleet
         self.recorder = recorder
         self.rng = random.Random(seed)
+        self.lock = threading.Lock()
         self.version = 0
 
     def accept_next(self, is_over: threading.Event) -> None:
         """Have the next version accepted, however often it takes."""
+        with self.lock:
+            self._accept_next(is_over)
+
+    def _accept_next(self, is_over: threading.Event) -> None:
         version = self.version + 1
         sent_at = time.time()
         while not is_over.is_set():
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -13,6 +13,7 @@
 from tests.support import KEYS, make_rules, small_spec, wide_spec
 
 LEAVING_BOUND_SECONDS = 3.0
+GRACE_SECONDS = 4.0
 LONG_EVERY = 20
 LONG_SECONDS = 2.5
 
@@ -113,6 +114,25 @@
             for answer in failed:
                 self.assertEqual(answer.outcome, 'not-run', answer)
 
+    def test_node_is_gone_within_its_grace_though_work_goes_on(self) -> None:
+        with running_fleet(small_spec(grace=GRACE_SECONDS)) as fleet:
+            fleet.accept(make_rules())
+            fleet.wait_rates()
+            node = fleet.nodes[0]
+            calling = threading.Thread(
+                target=Caller(KEYS['dealers']).send,
+                args=(node.callers, 'POST', '/notes'),
+                kwargs={'body': b'x', 'headers': {'X-Work': '30'}},
+            )
+            calling.start()
+            time.sleep(0.5)
+            asked_at = time.monotonic()
+            node.process.terminate()
+            self.assertEqual(node.process.wait(20), 0)
+            took = time.monotonic() - asked_at
+            calling.join()
+            self.assertLess(took, GRACE_SECONDS)
+
     def test_upstream_that_leaves_finishes_its_requests(self) -> None:
         with running_fleet(small_spec()) as fleet:
             fleet.accept(make_rules())
