Send tables as differences; try upstreams of the zone that were idle

Change: who asks for a table names what it has in 32 bits a record and gets what it lacks; one seed is asked at a time; the digest is kept as the table changes.

Change: an upstream of the own zone that nothing was heard of for a second gets the next idempotent request.

--- a/packages/core/src/kumquathold_core/gossip.py
+++ b/packages/core/src/kumquathold_core/gossip.py
@@ -118,14 +118,17 @@
 
 
 class TableAsked(msgspec.Struct, frozen=True, array_like=True, tag='table-ask'):
-    """A node that joins or whose table differs asks for the whole table."""
+    """A node that joins or whose table differs asks for what it lacks."""
 
     rumours: tuple[Rumour, ...]
     """The asker's own record at least."""
 
+    states: tuple[int, ...] = ()
+    """Short hashes of the records that the asker has, 32 bits each."""
+
 
 class TableSent(msgspec.Struct, frozen=True, array_like=True, tag='table'):
-    """A part of a member table."""
+    """A part of what another's member table lacks."""
 
     rumours: tuple[Rumour, ...]
     """At most a few dozen records."""
--- a/packages/core/src/kumquathold_core/members.py
+++ b/packages/core/src/kumquathold_core/members.py
@@ -19,6 +19,7 @@
 DEAD_KEPT_SECONDS = 7200.0
 RETRANSMIT_FACTOR = 1.5
 MAX_RUMOURS = 8
+SHORT_STATE = 0xFFFFFFFF
 
 
 class Member(msgspec.Struct):
@@ -47,21 +48,14 @@
     def __init__(self, own: NodeRecord, now: float) -> None:
         """Start with the own record only."""
         self.own = own
-        self.members = {own.address: Member(own, Health.alive, now)}
-        self.pending: dict[str, int] = {own.address: 0}
+        self.members: dict[str, Member] = {}
+        self.pending: dict[str, int] = {}
         self.changes = 0
-        self.cached_digest: int | None = None
-        self.cached_peers: list[str] | None = None
-
-    @property
-    def digest(self) -> int:
+        self.states: dict[str, int] = {}
+        self.digest = 0
         """Equal for equal tables, whatever the order of arrival."""
-        if self.cached_digest is None:
-            total = 0
-            for member in self.members.values():
-                total ^= _hash_member(member)
-            self.cached_digest = total
-        return self.cached_digest
+        self.cached_peers: list[str] | None = None
+        self._put(Member(own, Health.alive, now))
 
     def living(self) -> list[NodeRecord]:
         """Records of all nodes that are not believed dead."""
@@ -139,9 +133,7 @@
                 self._put(Member(member.record, Health.dead, now))
                 died.append(member.record)
             elif member.health == Health.dead and age >= DEAD_KEPT_SECONDS:
-                self.members.pop(address)
-                self.pending.pop(address, None)
-                self._drop_caches()
+                self._drop(address)
         return died
 
     def take_rumours(self) -> tuple[Rumour, ...]:
@@ -162,9 +154,18 @@
         member = self.members[address]
         return Rumour(record=member.record, health=member.health)
 
-    def all_rumours(self) -> list[Rumour]:
-        """The whole table."""
-        return [self.rumour_of(address) for address in self.members]
+    def short_states(self) -> tuple[int, ...]:
+        """Names each record and what is believed of it in 32 bits."""
+        return tuple(state & SHORT_STATE for state in self.states.values())
+
+    def rumours_beyond(self, states: tuple[int, ...]) -> list[Rumour]:
+        """What a table with these short states lacks."""
+        known = frozenset(states)
+        return [
+            self.rumour_of(address)
+            for address, state in self.states.items()
+            if state & SHORT_STATE not in known
+        ]
 
     def _merge_own(self, rumour: Rumour, now: float) -> bool:
         told = rumour.record
@@ -190,13 +191,18 @@
 
     def _put(self, member: Member) -> None:
         address = member.record.address
+        state = _hash_member(member)
+        self.digest ^= self.states.get(address, 0) ^ state
+        self.states[address] = state
         self.members[address] = member
         self.pending[address] = 0
         self.changes += 1
-        self._drop_caches()
+        self.cached_peers = None
 
-    def _drop_caches(self) -> None:
-        self.cached_digest = None
+    def _drop(self, address: str) -> None:
+        self.members.pop(address)
+        self.pending.pop(address, None)
+        self.digest ^= self.states.pop(address)
         self.cached_peers = None
 
 
--- a/packages/core/src/kumquathold_core/placement.py
+++ b/packages/core/src/kumquathold_core/placement.py
@@ -13,8 +13,8 @@
 - each kilobyte that leaves the zone or the region has a toll.
 
 An owner corrects a wrong price by refusing at once, and the request is priced
-anew. An upstream of the zone that nothing is known of, and one that failed
-lately, get one idempotent request at a time to try them.
+anew. An upstream of the zone that is not heard of, and one that failed lately,
+get one idempotent request at a time to try them.
 """
 
 from __future__ import annotations
@@ -41,6 +41,7 @@
 FAR_BACKLOG_SHARE = 0.5
 DEFAULT_OBJECTIVE_SECONDS = 1.0
 TIE_PRICE = 0.02
+IDLE_SECONDS = 1.0
 REACH = {ZoneChoice.zone: 0, ZoneChoice.region: 1, ZoneChoice.any: 2}
 
 
@@ -68,11 +69,6 @@
     measured_at: float = 0.0
     """When a request was last timed."""
 
-    @property
-    def is_unknown(self) -> bool:
-        """Whether its owner has not told anything yet."""
-        return not self.told_at
-
     def tell(self, backlog: int, risk: float, now: float) -> None:
         """Take in what an owner said."""
         self.backlog = backlog
@@ -165,15 +161,15 @@
     """Whether this request should try an upstream, its price aside.
 
     Tried are upstreams that failed lately, and those of the own zone that
-    nothing is known of: whoever joins would otherwise get nothing while
-    others are known to be good.
+    nothing was heard of for a while or ever: the others, known to be good,
+    would otherwise get everything.
     """
-    is_stale = now - report.told_at >= suspicion.TRIAL_SECONDS
-    if not errand.may_try or not is_stale or report.in_flight:
+    if not errand.may_try or report.in_flight:
         return False
-    is_near = candidate.zone == errand.zone
+    age = now - report.told_at
+    is_idle = candidate.zone == errand.zone and age >= IDLE_SECONDS
     is_suspect = report.risk_at(now) > suspicion.SUSPECT_RISK
-    return is_suspect or (report.is_unknown and is_near)
+    return is_idle or (is_suspect and age >= suspicion.TRIAL_SECONDS)
 
 
 def price(
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -33,7 +33,6 @@
 TABLE_RECORDS = 32
 TABLE_ASK_SECONDS = 2.0
 FAR_PATIENCE = 4
-SEEDS_ASKED = 2
 URGENT_FANOUT = 16
 NEWS_NEAR_FANOUT = 3
 URGENT_FAR_FANOUT = 3
@@ -272,9 +271,9 @@
         self.heartbeats.pop(envelope.message.number, None)
 
     def on_table_asked(self, envelope: Envelope[gossip.TableAsked]) -> None:
-        """Send the whole table, in parts."""
+        """Send what the asker lacks, in parts."""
         self._merge(envelope.message.rumours)
-        rumours = self.table.all_rumours()
+        rumours = self.table.rumours_beyond(envelope.message.states)
         for start in range(0, len(rumours), TABLE_RECORDS):
             part = tuple(rumours[start : start + TABLE_RECORDS])
             message = gossip.TableSent(rumours=part)
@@ -396,13 +395,14 @@
             self.transport.try_send(helper, asked)
 
     def _ask_seeds(self) -> None:
+        """Ask one seed; a node that stays alone asks another next round."""
+        if self.seeds:
+            self._ask_for_table(self.rng.choice(self.seeds))
+
+    def _ask_for_table(self, peer: str) -> None:
         own = self.table.rumour_of(self.table.own.address)
-        chosen = self.rng.sample(
-            self.seeds,
-            min(SEEDS_ASKED, len(self.seeds)),
-        )
-        for seed in chosen:
-            self.transport.try_send(seed, gossip.TableAsked(rumours=(own,)))
+        asked = gossip.TableAsked((own,), self.table.short_states())
+        self.transport.try_send(peer, asked)
 
     def _compare_tables(self, peer: str, digest: int) -> None:
         now = monotonic()
@@ -416,8 +416,7 @@
         if now - self.table_asked_at < patience:
             return
         self.table_asked_at = now
-        own = self.table.rumour_of(self.table.own.address)
-        self.transport.try_send(peer, gossip.TableAsked(rumours=(own,)))
+        self._ask_for_table(peer)
 
     def _merge(self, rumours: tuple[gossip.Rumour, ...]) -> None:
         now = monotonic()
--- a/packages/standins/src/kumquathold_standins/soak.py
+++ b/packages/standins/src/kumquathold_standins/soak.py
@@ -10,6 +10,7 @@
 
 import contextlib
 import shutil
+import signal
 import sys
 import threading
 import time
@@ -47,6 +48,7 @@
 RATE_TERM_SECONDS = 3.0
 REGIONS_SHIFT = 2
 ERROR = 'ERROR'
+EXIT_TERMINATED = 143
 
 
 class Result(msgspec.Struct, frozen=True):
@@ -173,9 +175,11 @@
                 tracks.submit(self._play_track, number)
                 for number in range(len(self.plan.tracks))
             ]
-            while time.monotonic() < ends_at and not self._violations():
-                time.sleep(CHECK_SECONDS)
-            self.stage.is_over.set()
+            try:
+                while time.monotonic() < ends_at and not self._violations():
+                    time.sleep(CHECK_SECONDS)
+            finally:
+                self.stage.is_over.set()
             for track in playing:
                 track.result()
 
@@ -278,6 +282,8 @@
 @click.option('--seconds', default=FAULT_SECONDS, help='Faults last so long.')
 def main(*, seeds: int, first: int, nodes: int, seconds: float) -> None:
     """Play seeds one after the other; exit 1 where a promise was broken."""
+    # Ends the processes of the running fleet too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_TERMINATED))
     held = [
         _run_and_report(seed, nodes, seconds)
         for seed in range(first, first + seeds)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -97,6 +97,33 @@
         table.expire(10.0 + DEAD_KEPT_SECONDS)
         self.assertNotIn(record(2).address, table.members)
 
+    def test_table_sends_only_what_another_lacks(self) -> None:
+        first = MemberTable(record(1), 0.0)
+        second = MemberTable(record(2), 0.0)
+        for number in range(3, 90):
+            for table in (first, second):
+                table.merge(Rumour(record(number), Health.alive), 0.0)
+        first.suspect(record(7).address, 1.0)
+        first.merge(Rumour(record(90), Health.alive), 1.0)
+        lacking = first.rumours_beyond(second.short_states())
+        told = {rumour.record.address for rumour in lacking}
+        expected = {record(number).address for number in (1, 7, 90)}
+        self.assertEqual(told, expected)
+        for rumour in lacking:
+            second.merge(rumour, 2.0)
+        for rumour in second.rumours_beyond(first.short_states()):
+            first.merge(rumour, 2.0)
+        self.assertEqual(first.digest, second.digest)
+        self.assertEqual(first.rumours_beyond(second.short_states()), [])
+
+    def test_digest_forgets_who_is_forgotten(self) -> None:
+        table = MemberTable(record(1), 0.0)
+        alone = table.digest
+        table.merge(Rumour(record(2), Health.dead), 0.0)
+        self.assertNotEqual(table.digest, alone)
+        table.expire(DEAD_KEPT_SECONDS)
+        self.assertEqual(table.digest, alone)
+
     def test_every_change_is_told_and_then_no_more(self) -> None:
         table = MemberTable(record(1), 0.0)
         for number in range(2, 30):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -18,6 +18,7 @@
 KNOWN_RISK = 0.03
 NOW = 100.0
 LOAD = 1.3
+FLOOR_WINDOW_SECONDS = 2.0
 CALL = Errand(
     zone='a',
     region='r',
@@ -75,6 +76,22 @@
         reports['new'] = LoadReport(in_flight=1)
         self.assertEqual(choose(candidates, reports, CALL), 'old')
 
+    def test_upstream_of_the_zone_that_was_idle_gets_a_request(self) -> None:
+        """Else less than the floor of a service's upstreams get any."""
+        candidates = [in_zone(f'u{number}') for number in range(6)]
+        reports = {one.upstream: known(NOW - 6) for one in candidates}
+        reports['u0'] = known()
+        last_sent = dict.fromkeys(reports, NOW)
+        rng = random.Random(3)
+        longest = 0.0
+        for step in range(400):
+            now = NOW + step / 10
+            name = choose(candidates, reports, CALL, now, rng)
+            last_sent[name] = now
+            longest = max(longest, now - min(last_sent.values()))
+            reports[name].tell(0, KNOWN_RISK, now)
+        self.assertLessEqual(longest, FLOOR_WINDOW_SECONDS)
+
     def test_new_upstream_elsewhere_is_left_to_its_own_zone(self) -> None:
         candidates = [in_zone('old'), in_zone('new', 'b')]
         self.assertEqual(choose(candidates, {'old': known()}, CALL), 'old')
