--- a/packages/node/src/kumquathold_node/jobs.py
+++ b/packages/node/src/kumquathold_node/jobs.py
@@ -16,6 +16,7 @@
 
 SERVICE_GAIN = 0.2
 LATE_PER_SLOT = 3
+LATE_SHARE = 0.25
 LEAST_SERVICE_SHARE = 0.5
 
 
@@ -121,9 +122,19 @@
         self.service_seconds += gain * (seconds - self.service_seconds)
 
     def is_too_late(self, job: Job, now: float) -> bool:
-        """Whether a request can no longer end before its deadline."""
+        """Whether a waiting request is given up, to be refused at once.
+
+        It can no longer end before its deadline; or its answer is late, and
+        those that can still be in time left it no slot here for `LATE_SHARE`
+        of the time between. While the load lasts it would wait in vain.
+        """
+        work = job.work
         needed = self.service_seconds * LEAST_SERVICE_SHARE
-        return job.work.deadline - now < needed
+        if work.deadline - now < needed:
+            return True
+        patience = LATE_SHARE * (work.deadline - work.due_at)
+        late_since = max(work.due_at, job.queued_at)
+        return patience > 0 and now > late_since + patience
 
     def find_too_late(self, now: float) -> list[Job]:
         """The waiting requests that can no longer end in time."""
