Count all second sendings in the retry budget; start it empty

A request on a kept connection whose answer was lost by a reset was sent again at once, outside the budget, though it had run. A node that has just started knows no other and took the fleet's whole part.

Ruled out: refusals by owners, which reach no upstream.

Change: only a connection that fails as soon as it is used was closed before; any other loss goes through the budget. A budget starts with nothing.

--- a/packages/core/src/kumquathold_core/retries.py
+++ b/packages/core/src/kumquathold_core/retries.py
@@ -57,7 +57,9 @@
     The fleet may make a share of the requests plus a fixed number in each
     window. A node earns that share by its own requests, keeps half of its
     part of the fixed number as what it may save up, and earns the rest of it
-    evenly over the window, so that no window sees more than both.
+    evenly over the window, so that no window sees more than both. It starts
+    with nothing: a node that has just started does not know yet how many
+    there are.
     """
 
     __slots__ = ('earned_at', 'most', 'ratio', 'refill', 'tokens')
@@ -67,15 +69,13 @@
         self.ratio = ratio
         self.most = 0.0
         self.refill = 0.0
-        self.tokens = -1.0
+        self.tokens = 0.0
         self.earned_at = 0.0
 
     def share(self, extra: float, window: float) -> None:
         """Take this node's part of the fixed number for a window."""
         self.most = max(1.0, extra * SAVED_SHARE)
         self.refill = extra * (1 - SAVED_SHARE) / window
-        if self.tokens < 0:
-            self.tokens = min(self.most, extra * SAVED_SHARE)
 
     def earn(self, now: float) -> None:
         """Count a first sending."""
--- a/packages/node/src/kumquathold_node/upstream_calls.py
+++ b/packages/node/src/kumquathold_node/upstream_calls.py
@@ -28,6 +28,7 @@
 READ_BYTES = 262_144
 MAX_ANSWER_BYTES = 67_108_864
 CRASH_PROBE_SECONDS = 0.2
+STALE_SECONDS = 0.03
 OUTCOME_HEADER = 'Kumquathold-Outcome'
 PUBLIC = '-'
 PROMISES = frozenset(
@@ -89,7 +90,8 @@
     ) -> None:
         """Say whether the request ran, and whether the upstream crashed.
 
-        `at_once` tells that the connection failed before any of an answer.
+        `at_once` tells that the connection failed as soon as it was used, so
+        that it had been closed before.
         """
         super().__init__(f'{reason.value}: {outcome.value}')
         self.outcome = outcome
@@ -238,7 +240,7 @@
             answer = self._exchange(connection, work, body, started)
         except (OSError, http.client.HTTPException) as error:
             connection.close()
-            raise self._explain(error, work) from error
+            raise self._explain(error, work, started) from error
         finally:
             with self.lock:
                 self.running.pop(work.request, None)
@@ -351,17 +353,21 @@
             headers.append((dialect.expected_instance, self.name))
         return headers
 
-    def _explain(self, error: Exception, work: WorkRequested) -> CallFailed:
+    def _explain(
+        self,
+        error: Exception,
+        work: WorkRequested,
+        started: float,
+    ) -> CallFailed:
+        failed_after = monotonic() - started
         if isinstance(error, TimeoutError) or monotonic() >= work.deadline:
             return CallFailed(Outcome.unknown, Refusal.deadline_passed)
         return CallFailed(
             Outcome.unknown,
             Refusal.upstream_failed,
             crashed=self._is_gone(),
-            at_once=isinstance(
-                error,
-                (ConnectionError, http.client.RemoteDisconnected),
-            ),
+            at_once=isinstance(error, ConnectionError)
+            and failed_after < STALE_SECONDS,
         )
 
     def _is_gone(self) -> bool:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -243,6 +243,17 @@
             requests = sum(start <= at < start + window for at in sent)
             self.assertLessEqual(retries, ratio * requests + extra)
 
+    def test_nodes_that_start_alone_stay_within_it_together(self) -> None:
+        nodes, extra, window, ratio = 36, 62.0, 10.0, 0.15
+        spent = 0
+        for _ in range(nodes):
+            budget = RetryBudget(ratio)
+            for now in (1.0, 1.2, 1.4):
+                budget.share(extra, window)
+                budget.earn(now)
+                spent += budget.spend()
+        self.assertLessEqual(spent, 3 * ratio * nodes + extra)
+
 
 class CrashMarksTest(unittest.TestCase):
     """The request that crashes upstreams is refused, its neighbours not."""
