--- a/packages/standins/src/kumquathold_standins/soak.py
+++ b/packages/standins/src/kumquathold_standins/soak.py
@@ -23,7 +23,7 @@
 import click
 import msgspec
 
-from kumquathold_standins import soak_faults, soak_load
+from kumquathold_standins import soak_faults, soak_load, soak_stage
 from kumquathold_standins.fleet import ZONES, Fleet, Spec, Vm, running_fleet
 from kumquathold_standins.soak_checks import (
     FORCE_SECONDS,
@@ -33,9 +33,9 @@
     Violation,
     find_violations,
 )
-from kumquathold_standins.soak_faults import Stage
 from kumquathold_standins.soak_history import History, Recorder
 from kumquathold_standins.soak_plan import Plan, draw_plan
+from kumquathold_standins.soak_stage import Stage
 
 KEPT = Path('out') / 'soak'
 """Where the history and logs of seeds that failed are kept."""
@@ -193,7 +193,7 @@
     def _watch_recovery(self) -> None:
         """Heal, change the configuration once more, and wait until served."""
         self.changes_over.set()
-        soak_faults.heal_all(self.stage)
+        soak_stage.heal_all(self.stage)
         self.recorder.calm_since = time.time()
         self.operator.accept_next(self.is_over)
         while time.time() < self.recorder.calm_since + LONGEST_CALM_SECONDS:
