--- a/packages/node/src/kumquathold_node/leaving.py
+++ b/packages/node/src/kumquathold_node/leaving.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from time import monotonic, sleep
 
@@ -39,16 +40,18 @@
         self.quiet = settings.quiet
         self.grace = settings.grace
         self.begun = threading.Event()
+        self.begun_at = math.inf
         kernel.register('leaving', self)
 
     def begin(self) -> None:
         """Ask for the leaving; returns at once."""
+        self.begun_at = min(self.begun_at, monotonic())
         self.begun.set()
 
     def wait_and_leave(self) -> None:
         """Wait until somebody asks, then see the leaving through."""
         self.begun.wait()
-        begun_at = monotonic()
+        begun_at = self.begun_at
         logger.info('leaving begun', grace=self.grace)
         self.owner.task.post(LeavingBegun())
         self.membership.task.post(NodeLeaving())
--- a/packages/node/src/kumquathold_node/main.py
+++ b/packages/node/src/kumquathold_node/main.py
@@ -45,6 +45,8 @@
     leaving: Leaving = kernel.find('leaving')
     seeds = Seeds(kernel, settings)
     callers.bridge_library_logs()
+    # Before the first request is taken: the default would cut it off.
+    _react_to_signals(leaving)
     with ExitStack() as stack:
         stack.enter_context(transport.listening())
         stack.enter_context(kernel.running())
@@ -72,7 +74,6 @@
             ),
         )
         seeds.join()
-        _react_to_signals(leaving)
         logger.info('node started', zone=settings.zone, region=settings.region)
         _wait_interruptibly(leaving)
     logger.info('node stopped')
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -9,11 +9,18 @@
 from collections import Counter
 
 from kumquathold_standins.caller import Answer, Caller
-from kumquathold_standins.fleet import Fleet, Node, running_fleet, wait_until
+from kumquathold_standins.fleet import (
+    Fleet,
+    Node,
+    is_open,
+    running_fleet,
+    wait_until,
+)
 from tests.support import KEYS, make_rules, small_spec, wide_spec
 
 LEAVING_BOUND_SECONDS = 3.0
 GRACE_SECONDS = 4.0
+SLOW_STORE_SECONDS = 2.0
 LONG_EVERY = 20
 LONG_SECONDS = 2.5
 
@@ -133,6 +140,16 @@
             calling.join()
             self.assertLess(took, GRACE_SECONDS)
 
+    def test_node_that_still_starts_leaves_gracefully(self) -> None:
+        with running_fleet(small_spec()) as fleet:
+            node = fleet.nodes[0]
+            node.process.kill()
+            fleet.set_platform(delay=SLOW_STORE_SECONDS)
+            node.process.restart()
+            wait_until(lambda: is_open(node.callers), 'door of the node')
+            node.process.terminate()
+            self.assertEqual(node.process.wait(40), 0)
+
     def test_upstream_that_leaves_finishes_its_requests(self) -> None:
         with running_fleet(small_spec()) as fleet:
             fleet.accept(make_rules())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,9 @@
     3,
     16,
     105,
+    # A node was told to leave before it heeded the signal, though it took
+    # requests already.
+    119,
     # The soak's operator accepted one version twice and blamed a withdrawal.
     7,
     # A check blamed the later sending of a hold that an earlier one had run.
