--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 
 SHORT_SEED = 1
 SHORT_SECONDS = 6.0
-AT_ONCE = 2
+AT_ONCE = 3
 REGRESSIONS = (
     # The process of a leaving node outlived its grace, as the interpreter
     # waited for the worker threads of calls that still ran.
