--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -289,7 +289,7 @@
 
     def test_budget_is_one_in_ten(self) -> None:
         budget = retries.RetryBudget()
-        budget.share(10, retries.BUDGET_WINDOW_SECONDS)
+        budget.share(10, retries.BUDGET_WINDOW_SECONDS, settled=True)
         spent = 0
         for step in range(1000):
             budget.earn(step * 0.01)
