Fill a retry budget as soon as the node knows a peer

Cause: in a node's first two seconds a service that sheds was not retried (test_shed_load_is_taken_elsewhere red in one of two runs beside load). Only a node that knows no other yet would take the whole fleet's part.

--- a/packages/core/src/kumquathold_core/retries.py
+++ b/packages/core/src/kumquathold_core/retries.py
@@ -58,8 +58,8 @@
     window. A node earns that share by its own requests, keeps half of its
     part of the fixed number as what it may save up, and earns the rest of it
     evenly over the window, so that no window sees more than both. What may be
-    saved up is there once the node is settled: one that has just started does
-    not know yet how many there are.
+    saved up is there once the node is settled: one that has just started and
+    knows no other yet would take the whole fleet's.
     """
 
     __slots__ = (
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -310,10 +310,14 @@
         budget.share(
             self.retry_extra / nodes,
             self.retry_window,
-            settled=monotonic() - self.started_at >= SETTLE_SECONDS,
+            settled=nodes > 1 or self._is_old(),
         )
         return budget
 
+    def _is_old(self) -> bool:
+        """Whether a node that still knows no other is alone."""
+        return monotonic() - self.started_at >= SETTLE_SECONDS
+
     def _send_on(
         self,
         admitted: Admitted,
