--- a/packages/standins/src/kumquathold_standins/fleet.py
+++ b/packages/standins/src/kumquathold_standins/fleet.py
@@ -354,8 +354,7 @@
 
     def ledger(self) -> list[Run]:
         """Everything that ran on any upstream."""
-        lines = self.ledger_file.read_bytes().splitlines()
-        return [msgspec.json.decode(line, type=Run) for line in lines]
+        return read_ledger(self.ledger_file)
 
     def runs_of(self, operation: str) -> list[Run]:
         """The runs of one wish."""
@@ -531,6 +530,13 @@
                 _copy_logs(Path(directory), Path(keep_logs))
 
 
+def read_ledger(ledger_file: Path) -> list[Run]:
+    """The runs of a ledger; a line that is still being written is left out."""
+    written = ledger_file.read_bytes()
+    whole = written[: written.rfind(b'\n') + 1]
+    return [msgspec.json.decode(line, type=Run) for line in whole.splitlines()]
+
+
 def wait_until(
     is_reached: Callable[[], bool],
     what: str,
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import tempfile
 import unittest
+from pathlib import Path
 from typing import Any
 
 import msgspec
 
 from kumquathold_standins import soak_checks
+from kumquathold_standins.fleet import read_ledger
 from kumquathold_standins.soak_checks import find_violations
 from kumquathold_standins.soak_history import (
     Accepted,
@@ -210,6 +213,19 @@
         self.assertEqual(drawn, set(Fault))
 
 
+class LedgerTest(unittest.TestCase):
+    """Upstreams write to the ledger while it is read."""
+
+    def test_line_that_is_being_written_is_left_out(self) -> None:
+        line = msgspec.json.encode(RUN) + b'\n'
+        with tempfile.TemporaryDirectory() as directory:
+            ledger = Path(directory) / 'ledger'
+            ledger.write_bytes(line + line[:40])
+            self.assertEqual(read_ledger(ledger), [RUN])
+            ledger.write_bytes(line[:40])
+            self.assertEqual(read_ledger(ledger), [])
+
+
 class RecorderTest(unittest.TestCase):
     """What is noted is in the history."""
 
