Use one smoothing, one wait for a slot and one handler where they stood twice

Smoothing by a fixed gain stood in three places, the wait for a free slot in admission and in placement, the stand-ins' HTTP verbs in store and target. The soak read its ledger twice at its end. No behaviour of a node changes.

One check gets stricter: the soak took any answer to an empty body for the caller's own, so a request whose body was lost on the way would have passed. It now asks for the digest of exactly what was sent.

--- a/packages/core/src/kumquathold_core/admission.py
+++ b/packages/core/src/kumquathold_core/admission.py
@@ -39,13 +39,19 @@
     """Whether an idempotent request may try it while it is suspect."""
 
 
+def expect_slot(slots: int, backlog: float, seconds: float) -> float:
+    """Seconds until an upstream with this backlog has a free slot.
+
+    `seconds` is the time that a request takes there.
+    """
+    waiting = max(0, backlog - slots + 1)
+    return waiting * seconds / slots
+
+
 def expect_wait(load: UpstreamLoad) -> float:
     """Seconds until a new request gets a slot, as expected."""
-    ahead = load.running + load.waiting - load.slots + 1
-    if ahead <= 0:
-        return 0.0
     seconds = max(load.service_seconds, MIN_SERVICE_SECONDS)
-    return ahead * seconds / load.slots
+    return expect_slot(load.slots, load.running + load.waiting, seconds)
 
 
 def find_refusal(
--- a/packages/core/src/kumquathold_core/means.py
+++ b/packages/core/src/kumquathold_core/means.py
@@ -6,6 +6,11 @@
 """Weight of the newest request in a smoothed quantity."""
 
 
+def smooth(known: float, newest: float) -> float:
+    """The smoothed quantity after one more request."""
+    return known + GAIN * (newest - known)
+
+
 class RouteMeans:
     """A smoothed quantity of each route's requests."""
 
@@ -23,4 +28,4 @@
     def note(self, route: str, quantity: float) -> None:
         """Take in one request."""
         known = self.known.get(route, quantity)
-        self.known[route] = known + GAIN * (quantity - known)
+        self.known[route] = smooth(known, quantity)
--- a/packages/core/src/kumquathold_core/placement.py
+++ b/packages/core/src/kumquathold_core/placement.py
@@ -24,7 +24,7 @@
 
 import msgspec
 
-from kumquathold_core import means, suspicion
+from kumquathold_core import admission, means, suspicion
 from kumquathold_core.balancing import Candidate, rank_distance
 from kumquathold_core.rules import ZoneChoice
 
@@ -77,14 +77,10 @@
 
     def measure(self, seconds: float, usual: float, now: float) -> None:
         """Take in how long a request took, and usually takes elsewhere."""
-        gained = means.GAIN * (seconds - self.service_seconds)
-        self.service_seconds = max(
-            self.service_seconds + gained,
-            MIN_SERVICE_SECONDS,
-        )
-        known = self.slowness_at(now)
+        smoothed = means.smooth(self.service_seconds, seconds)
+        self.service_seconds = max(smoothed, MIN_SERVICE_SECONDS)
         ratio = seconds / max(usual, MIN_SERVICE_SECONDS)
-        self.slowness = known + means.GAIN * (ratio - known)
+        self.slowness = means.smooth(self.slowness_at(now), ratio)
         self.measured_at = now
 
     def slowness_at(self, now: float) -> float:
@@ -146,12 +142,6 @@
     return max(report.backlog - served, report.in_flight)
 
 
-def expect_wait(candidate: Candidate, backlog: float, seconds: float) -> float:
-    """Seconds until an upstream with this backlog has a free slot."""
-    waiting = max(0, backlog - candidate.slots + 1)
-    return waiting * seconds / candidate.slots
-
-
 def is_due_for_trial(
     candidate: Candidate,
     report: LoadReport,
@@ -190,14 +180,15 @@
     backlog = expect_backlog(candidate, report, now)
     if now - report.told_at >= suspicion.TRIAL_SECONDS:
         backlog = max(backlog, least_backlog)
-    wait = expect_wait(candidate, backlog, report.service_seconds)
+    slots = candidate.slots
+    wait = admission.expect_slot(slots, backlog, report.service_seconds)
     usual = errand.usual_seconds
     seconds = usual * report.slowness_at(now)
     failure = FAILURE_PRICE
     if errand.idempotent:
         failure = REPEATABLE_FAILURE_PRICE
     risk = report.risk_at(now) * failure
-    tie = TIE_PRICE * min(backlog / candidate.slots, 1)
+    tie = TIE_PRICE * min(backlog / slots, 1)
     delay = errand.delay(wait + seconds) - errand.delay(usual)
     return delay + errand.toll(candidate) + risk + tie
 
--- a/packages/node/src/kumquathold_node/jobs.py
+++ b/packages/node/src/kumquathold_node/jobs.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from kumquathold_core import crashes, turns
+from kumquathold_core import crashes, means, turns
 from kumquathold_core.admission import UpstreamLoad
 from kumquathold_core.identity import RequestId, UpstreamRecord
 from kumquathold_core.suspicion import Suspicion
@@ -14,7 +14,6 @@
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.upstream_calls import UpstreamCalls
 
-SERVICE_GAIN = 0.2
 LATE_PER_SLOT = 3
 LATE_SHARE = 0.25
 LEAST_SERVICE_SHARE = 0.5
@@ -118,8 +117,8 @@
 
     def note_service(self, seconds: float) -> None:
         """Take in how long a request ran."""
-        gain = SERVICE_GAIN if self.service_seconds else 1.0
-        self.service_seconds += gain * (seconds - self.service_seconds)
+        known = self.service_seconds or seconds
+        self.service_seconds = means.smooth(known, seconds)
 
     def is_too_late(self, job: Job, now: float) -> bool:
         """Whether a waiting request is given up, to be refused at once.
@@ -137,7 +136,7 @@
         return patience > 0 and now > late_since + patience
 
     def find_too_late(self, now: float) -> list[Job]:
-        """The waiting requests that can no longer end in time."""
+        """The waiting requests that are given up."""
         waiting = self.queue.items()
         return [job for job in waiting if self.is_too_late(job, now)]
 
--- a/packages/standins/src/kumquathold_standins/soak.py
+++ b/packages/standins/src/kumquathold_standins/soak.py
@@ -28,6 +28,7 @@
 from kumquathold_standins.soak_checks import (
     FORCE_SECONDS,
     GRACE_SECONDS,
+    OK,
     RECOVERED_SHARE,
     RECOVERY_SECONDS,
     Violation,
@@ -177,7 +178,9 @@
                 for number in range(len(self.plan.tracks))
             ]
             try:
-                while time.monotonic() < ends_at and not self._violations():
+                while time.monotonic() < ends_at and not self._violations(
+                    self._history()
+                ):
                     time.sleep(CHECK_SECONDS)
             finally:
                 self.stage.is_over.set()
@@ -212,14 +215,14 @@
             for sent in self._history().sent
             if sent.sent_at > now - LOOK_BACK_SECONDS and sent.kind == 'read'
         ]
-        good = sum(sent.status == 200 for sent in recent)
+        good = sum(sent.status == OK for sent in recent)
         return bool(recent) and good >= RECOVERED_SHARE * len(recent)
 
     def _history(self) -> History:
         return self.recorder.history(self.fleet.ledger())
 
-    def _violations(self) -> list[Violation]:
-        return [*find_violations(self._history()), *self._own_ends()]
+    def _violations(self, history: History) -> list[Violation]:
+        return [*find_violations(history), *self._own_ends()]
 
     def _own_ends(self) -> list[Violation]:
         """Processes that ended though nobody ended them."""
@@ -242,13 +245,13 @@
 
     def _conclude(self) -> Result:
         history = self._history()
-        violations = (*self._violations(), *self._errors())
+        violations = (*self._violations(history), *self._errors())
         if violations:
             self._keep(history)
         return Result(
             seed=self.plan.seed,
             requests=len(history.sent),
-            served=sum(sent.status == 200 for sent in history.sent),
+            served=sum(sent.status == OK for sent in history.sent),
             versions=len(history.accepted),
             faults=sum(len(track) for track in self.plan.tracks),
             skipped=self.stage.skipped,
--- a/packages/standins/src/kumquathold_standins/soak_history.py
+++ b/packages/standins/src/kumquathold_standins/soak_history.py
@@ -110,13 +110,13 @@
 
     def note(self, seen: Sent | Accepted | Ended) -> None:
         """Keep one thing."""
-        kept: dict[type, list[object]] = {
-            Sent: self.sent,  # type: ignore[dict-item]
-            Accepted: self.accepted,  # type: ignore[dict-item]
-            Ended: self.ended,  # type: ignore[dict-item]
-        }
         with self.lock:
-            kept[type(seen)].append(seen)
+            if isinstance(seen, Sent):
+                self.sent.append(seen)
+            elif isinstance(seen, Accepted):
+                self.accepted.append(seen)
+            else:
+                self.ended.append(seen)
 
     def history(self, runs: list[Run]) -> History:
         """What was seen so far, with a ledger read before or now."""
--- a/packages/standins/src/kumquathold_standins/soak_load.py
+++ b/packages/standins/src/kumquathold_standins/soak_load.py
@@ -216,6 +216,8 @@
         version = self.operator.version - self.rng.randrange(2)
         operation = self._name_operation(kind)
         body = operation.encode().ljust(kind.body_bytes, b'.')
+        if not kind.body_bytes:
+            body = b''
         number = self.rng.randrange(len(self.fleet.nodes))
         life, connection = self._connect(number)
         sent_at = time.time()
@@ -277,20 +279,18 @@
         connection,
         kind.method,
         kind.path.format(operation=operation, version=version),
-        body=body if kind.body_bytes else b'',
+        body=body,
         headers=headers,
     )
 
 
 def _is_own(answer: Answer, operation: str, body: bytes) -> bool:
-    """Whether an upstream's answer names what was sent."""
+    """Whether an upstream's answer names the operation and the body sent."""
     if answer.status != OK:
         return True
     try:
         content = json.loads(answer.body)
     except ValueError:
         return False
-    is_named = content.get('operation') == operation
-    has_body = content.get('body_digest') != hashlib.sha256(b'').hexdigest()
-    digest = hashlib.sha256(body).hexdigest()
-    return is_named and (not has_body or content['body_digest'] == digest)
+    named = (content.get('operation'), content.get('body_digest'))
+    return named == (operation, hashlib.sha256(body).hexdigest())
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -10,6 +10,29 @@
 SERVER_POLL_SECONDS = 0.02
 
 
+class QuietHandler(BaseHTTPRequestHandler):
+    """Has `reply` answer every method, and logs nothing."""
+
+    protocol_version = 'HTTP/1.1'
+
+    def do_GET(self) -> None:
+        self.reply()
+
+    def do_POST(self) -> None:
+        self.reply()
+
+    def log_message(self, *_: object) -> None:
+        """Keep quiet."""
+
+    def reply(self) -> None:
+        """Answer the request."""
+        raise NotImplementedError
+
+    def read_body(self) -> bytes:
+        """The request's body."""
+        return self.rfile.read(int(self.headers.get('Content-Length') or 0))
+
+
 @contextmanager
 def serving(handler: type[BaseHTTPRequestHandler]) -> Iterator[str]:
     """Serve while the block runs; gives the address."""
--- a/tests/site_store.py
+++ b/tests/site_store.py
@@ -11,11 +11,10 @@
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
-from http.server import BaseHTTPRequestHandler
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from tests.loopback import serving
+from tests.loopback import QuietHandler, serving
 
 
 class Call:
@@ -181,24 +180,13 @@
 def serving_store(store: SiteStore) -> Iterator[str]:
     """Serve a store on loopback; gives its address."""
 
-    class Handler(BaseHTTPRequestHandler):  # noqa: WPS431
-        protocol_version = 'HTTP/1.1'
-
-        def do_GET(self) -> None:
-            self._reply()
-
-        def do_POST(self) -> None:
-            self._reply()
-
+    class Handler(QuietHandler):  # noqa: WPS431
         def do_DELETE(self) -> None:
-            self._reply()
-
-        def log_message(self, *_: object) -> None:
-            """Keep quiet."""
+            self.reply()
 
-        def _reply(self) -> None:
-            size = int(self.headers.get('Content-Length') or 0)
-            raw = self.rfile.read(size)
+        def reply(self) -> None:
+            """Answer by the store."""
+            raw = self.read_body()
             body = json.loads(raw) if raw else None
             status, content = store.answer(self.command, self.path, body)
             if store.lose_answers:
--- a/tests/site_target.py
+++ b/tests/site_target.py
@@ -8,9 +8,8 @@
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
-from http.server import BaseHTTPRequestHandler
 
-from tests.loopback import serving
+from tests.loopback import QuietHandler, serving
 
 INSTANCE = 'i-7f3a'
 SEAL = '3e1b.07.5a2'
@@ -41,21 +40,10 @@
 def serving_target(target: SiteTarget) -> Iterator[str]:
     """Serve a target on loopback; gives its address."""
 
-    class Handler(BaseHTTPRequestHandler):  # noqa: WPS431
-        protocol_version = 'HTTP/1.1'
-
-        def do_GET(self) -> None:
-            self._reply()
-
-        def do_POST(self) -> None:
-            self._reply()
-
-        def log_message(self, *_: object) -> None:
-            """Keep quiet."""
-
-        def _reply(self) -> None:
-            size = int(self.headers.get('Content-Length') or 0)
-            body = self.rfile.read(size)
+    class Handler(QuietHandler):  # noqa: WPS431
+        def reply(self) -> None:
+            """Answer as the path says."""
+            body = self.read_body()
             headers = {key.lower(): text for key, text in self.headers.items()}
             expected = headers.get('x-kumquathold-expect-instance')
             if expected != target.instance:
