Bound what an upstream in trouble may send, and blame crashes on their cause

Cause: a response was read by http.client with a timeout for each receive, so a few bytes at a time held a call past its deadline, and interim responses, trailers and bodies without end were read as long as they came. A second copy of a response, late on a kept connection, was passed on to the next request, as ids were compared only where the dialect passes the caller's id through. The probe for an ended process connected once, and a process that closes its connections before its port was taken for alive; the crash was then not counted. Ruled out: a time limit for the head alone (a body drips as well); repeating the probe at once (the port closes some milliseconds later). Change: one stream bounds time and bytes of head and body, and the bodies that a node reads at the same time share a limit. A connection is kept only if the last response named its request. The probe watches an accepted connection until it is reset. A request that starts after the crash was noticed is not blamed, and one that has succeeded lately is not refused. The reading of responses and the probe are modules of their own.

--- a/packages/core/src/kumquathold_core/crash_tracker.py
+++ b/packages/core/src/kumquathold_core/crash_tracker.py
@@ -81,10 +81,16 @@
         return len(record.upstreams)
 
     def is_refused(self, fingerprint: bytes, now: float) -> bool:
-        """Return whether the request must not run."""
+        """Return whether the request must not run.
+
+        One that has succeeded here lately may: it was only in flight when
+        other requests crashed their upstreams.
+        """
         record = self.records.get(fingerprint)
         if record is None or record.expires_at <= now:
             return False
+        if self.has_succeeded_lately(fingerprint, now):
+            return False
         return len(record.upstreams) >= MAX_CRASHES
 
     def _drop_expired(self, now: float) -> None:
--- a/packages/node/src/kumquathold_node/caller_requests.py
+++ b/packages/node/src/kumquathold_node/caller_requests.py
@@ -19,10 +19,8 @@
 from kumquathold_core.forwarding import Headers, Outcome, Refusal
 from kumquathold_core.rules import KEY_PREFIX, Route, parse_key_id
 from kumquathold_node.dialect import CallerDialect
-from kumquathold_node.upstream_calls import (
-    OUTCOME_HEADER,
-    strip_hop_by_hop_headers,
-)
+from kumquathold_node.upstream_calls import OUTCOME_HEADER
+from kumquathold_node.upstream_responses import strip_hop_by_hop_headers
 
 AUTHORIZATION = 'authorization'
 BEARER = 'Bearer '
--- a/packages/node/src/kumquathold_node/claims_service.py
+++ b/packages/node/src/kumquathold_node/claims_service.py
@@ -30,7 +30,8 @@
     SwapResult,
     Write,
 )
-from kumquathold_node.upstream_calls import CallFailed, UpstreamResponse
+from kumquathold_node.upstream_calls import CallFailed
+from kumquathold_node.upstream_responses import UpstreamResponse
 
 HOUR_SECONDS = 3600
 MAX_GROUP_SIZE = 48
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -39,11 +39,8 @@
     Upstream,
 )
 from kumquathold_node.transport import Transport
-from kumquathold_node.upstream_calls import (
-    CallFailed,
-    UpstreamCalls,
-    UpstreamResponse,
-)
+from kumquathold_node.upstream_calls import CallFailed, UpstreamCalls
+from kumquathold_node.upstream_responses import UpstreamResponse
 from kumquathold_node.upstream_roster import UpstreamRoster
 
 if TYPE_CHECKING:
@@ -362,15 +359,14 @@
                 seconds=0,
                 failed=True,
             )
-        self._free_slot(request)
-        self.metrics.count(f'owner.failed.{failure.reason.value}')
-        if failure.crashed or failure.reason == Refusal.upstream_unreachable:
-            self.roster.record_down(request.message.upstream)
-        if failure.crashed and not self.crash_tracker.has_succeeded_lately(
-            request.fingerprint,
-            monotonic(),
+        if failure.crashed and owner_outcomes.may_have_crashed(
+            upstream, request
         ):
             self._report_crash(request)
+        if failure.crashed or failure.reason == Refusal.upstream_unreachable:
+            self.roster.record_down(request.message.upstream)
+        self._free_slot(request)
+        self.metrics.count(f'owner.failed.{failure.reason.value}')
         if request.message.claim:
             self.claims.store_outcome(request, failure)
             return
@@ -601,6 +597,11 @@
         self.transport.try_send(request.reply_to, failure)
 
     def _report_crash(self, request: OwnerRequest) -> None:
+        """Blame a request for a crash, unless it has succeeded lately."""
+        if self.crash_tracker.has_succeeded_lately(
+            request.fingerprint, monotonic()
+        ):
+            return
         count = self.crash_tracker.record_crash(
             request.fingerprint,
             request.message.upstream,
--- a/packages/node/src/kumquathold_node/owner_outcomes.py
+++ b/packages/node/src/kumquathold_node/owner_outcomes.py
@@ -74,6 +74,15 @@
     return calls.last_failed_at >= request.started_at
 
 
+def may_have_crashed(upstream: Upstream | None, request: OwnerRequest) -> bool:
+    """Whether a request may be the cause of its upstream's crash.
+
+    One that started after the upstream was found to have ended is not: an
+    earlier request caused that crash.
+    """
+    return upstream is None or request.started_at < upstream.ended_at
+
+
 def begin_trial(upstream: Upstream, request: OwnerRequest) -> None:
     """Mark a request as the trial request of a suspect upstream."""
     request.is_trial = True
--- a/packages/node/src/kumquathold_node/owner_requests.py
+++ b/packages/node/src/kumquathold_node/owner_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from time import monotonic
 
 import msgspec
@@ -13,6 +14,7 @@
 from kumquathold_core.identity import RequestId, UpstreamRecord
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.upstream_calls import UpstreamCalls
+from kumquathold_node.upstream_responses import ResponseMemory
 
 LATE_QUEUE_PER_SLOT = 3
 """Queued requests past their objective that are kept per slot."""
@@ -93,6 +95,7 @@
 
     __slots__ = (
         'calls',
+        'ended_at',
         'expires_at',
         'failure_risk',
         'in_use',
@@ -106,12 +109,16 @@
         record: UpstreamRecord,
         expires_at: float,
         dialect: UpstreamDialect,
+        memory: ResponseMemory | None = None,
     ) -> None:
-        """Start idle, with an empty queue."""
+        """Start idle, with an empty queue.
+
+        `memory` is shared by the upstreams of a node.
+        """
         self.record = record
         self.expires_at = expires_at
         address = record.address or record.name
-        self.calls = UpstreamCalls(address, record.name, dialect)
+        self.calls = UpstreamCalls(address, record.name, dialect, memory)
         self.queue: fair_queue.ObjectiveQueue[OwnerRequest] = (
             fair_queue.ObjectiveQueue(
                 scheduling_key_of,
@@ -119,9 +126,18 @@
             )
         )
         self.in_use = 0
+        self.ended_at = math.inf
         self.service_seconds = 0.0
         self.failure_risk = FailureRiskEstimator()
 
+    def record_end(self, now: float) -> None:
+        """Record that the process was found to have ended."""
+        self.ended_at = min(self.ended_at, now)
+
+    def record_restart(self) -> None:
+        """Record an announcement, so that the process runs again."""
+        self.ended_at = math.inf
+
     def record_service_time(self, seconds: float) -> None:
         """Update the moving average of the service time."""
         average = self.service_seconds or seconds
--- a/packages/node/src/kumquathold_node/upstream_calls.py
+++ b/packages/node/src/kumquathold_node/upstream_calls.py
@@ -1,9 +1,12 @@
 """HTTP/1.1 client for one upstream, with a pool of keep-alive connections.
 
 An idle connection is reused only within the upstream's `Keep-Alive` timeout
-and while nothing has arrived on it since its last response. The dialect
-decides whether requests that must not run twice may reuse one: the connection
-may be dead without a sign of it, and a failed call leaves the outcome unknown.
+and while nothing has arrived on it since its last response. A second copy of
+that response may still arrive afterwards. Only the id of the request tells it
+apart, so a connection is kept only if the last response carried one. The
+dialect decides whether requests that must not run twice may reuse a connection:
+it may be dead without a sign of it, and a failed call leaves the outcome
+unknown.
 """
 
 from __future__ import annotations
@@ -14,25 +17,29 @@
 import socket
 import threading
 from collections import deque
+from contextlib import closing
 from time import monotonic
 
 import msgspec
+from loguru import logger
 
-from kumquathold_core.forwarding import (
-    ForwardRequest,
-    Headers,
-    Outcome,
-    Refusal,
-)
+from kumquathold_core.forwarding import ForwardRequest, Outcome, Refusal
+from kumquathold_node import upstream_probes
 from kumquathold_node.dialect import UpstreamDialect
+from kumquathold_node.upstream_responses import (
+    ForeignResponse,
+    ResponseMemory,
+    UpstreamConnection,
+    UpstreamResponse,
+    read_body,
+    strip_hop_by_hop_headers,
+)
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 IDLE_TIMEOUT_SECONDS = 5.0
 KEEP_ALIVE_MARGIN_SECONDS = 1.0
 MAX_IDLE_CONNECTIONS = 8
-READ_CHUNK_BYTES = 262_144
-MAX_RESPONSE_BYTES = 67_108_864
-CRASH_PROBE_TIMEOUT_SECONDS = 0.2
+MAX_CAUSE_CHARACTERS = 200
 STALE_CONNECTION_SECONDS = 0.03
 OUTCOME_HEADER = 'Kumquathold-Outcome'
 PUBLIC_WORKSPACE = '-'
@@ -47,39 +54,6 @@
 """Statuses from which callers conclude that the request did not run."""
 
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r'timeout=(\d+)')
-HOP_BY_HOP_HEADERS = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'trailers',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
-
-
-class UpstreamResponse(msgspec.Struct, frozen=True):
-    """A complete response of an upstream."""
-
-    status: int
-    """HTTP status."""
-
-    headers: Headers
-    """End-to-end headers."""
-
-    body: bytes
-    """The complete body."""
-
-    seconds: float
-    """Duration of the call."""
-
-    keep_alive: str = ''
-    """Value of the `Keep-Alive` header, or empty."""
 
 
 class CallFailed(Exception):
@@ -96,7 +70,7 @@
         """Create the error.
 
         `outcome` says whether the request ran, as far as is known, and
-        `crashed` whether the upstream refuses connections. `is_stale` says
+        `crashed` whether the upstream's process has ended. `is_stale` says
         that the connection failed within `STALE_CONNECTION_SECONDS` of the
         start of the call, which means that it had been closed before.
         """
@@ -110,7 +84,7 @@
 class IdleConnection(msgspec.Struct, frozen=True):
     """A keep-alive connection in the pool."""
 
-    connection: http.client.HTTPConnection
+    connection: UpstreamConnection
     """Open connection whose last response has been read completely."""
 
     expires_at: float
@@ -125,13 +99,18 @@
         address: str,
         name: str = '',
         dialect: UpstreamDialect | None = None,
+        memory: ResponseMemory | None = None,
     ) -> None:
-        """Set up the pool without connecting."""
+        """Set up the pool without connecting.
+
+        `memory` is shared by the pools whose bodies it bounds together.
+        """
         self.address = address
         self.name = name or address
         self.dialect = dialect or UpstreamDialect()
+        self.memory = memory or ResponseMemory()
         self.idle: deque[IdleConnection] = deque()
-        self.running: dict[object, http.client.HTTPConnection] = {}
+        self.running: dict[object, UpstreamConnection] = {}
         self.lock = threading.Lock()
 
     def run(self, message: ForwardRequest, body: bytes) -> UpstreamResponse:
@@ -159,7 +138,7 @@
         has no open connection.
         """
         with self.lock:
-            connection = self.running.get(request_id)
+            connection = self.running.pop(request_id, None)
         sock = connection.sock if connection else None
         if sock is None:
             return False
@@ -186,22 +165,21 @@
         """Repeat a request on a new connection after a reused one failed.
 
         If this attempt fails too, the error keeps the outcome of the first,
-        which may have run.
+        which may have run. If the upstream then refuses connections, its
+        process ended while the first attempt was on its way or running.
         """
         try:
             return self._run_on_connection(self._connect(), message, body)
         except CallFailed as second:
+            is_gone = second.reason == Refusal.upstream_unreachable
             raise CallFailed(
                 first.outcome,
                 second.reason,
-                crashed=second.crashed,
+                crashed=second.crashed or is_gone,
             ) from first
 
-    def _connect(self) -> http.client.HTTPConnection:
-        connection = http.client.HTTPConnection(
-            self.address,
-            timeout=CONNECT_TIMEOUT_SECONDS,
-        )
+    def _connect(self) -> UpstreamConnection:
+        connection = UpstreamConnection(self.address, CONNECT_TIMEOUT_SECONDS)
         try:
             connection.connect()
         except OSError as error:
@@ -211,7 +189,7 @@
             ) from error
         return connection
 
-    def _take_idle_connection(self) -> http.client.HTTPConnection | None:
+    def _take_idle_connection(self) -> UpstreamConnection | None:
         now = monotonic()
         with self.lock:
             while self.idle:
@@ -223,7 +201,7 @@
 
     def _release_connection(
         self,
-        connection: http.client.HTTPConnection,
+        connection: UpstreamConnection,
         seconds: float,
     ) -> None:
         idle = IdleConnection(connection, monotonic() + seconds)
@@ -235,7 +213,7 @@
 
     def _run_on_connection(
         self,
-        connection: http.client.HTTPConnection,
+        connection: UpstreamConnection,
         message: ForwardRequest,
         body: bytes,
     ) -> UpstreamResponse:
@@ -249,39 +227,48 @@
             response = self._exchange(connection, message, body, started)
         except (OSError, http.client.HTTPException) as error:
             connection.close()
+            logger.info(
+                'upstream call failed',
+                request=message.caller_id,
+                upstream=self.name,
+                cause=repr(error)[:MAX_CAUSE_CHARACTERS],
+            )
             raise self._classify_error(error, message, started) from error
         finally:
             with self.lock:
                 self.running.pop(message.request, None)
-        if connection.sock is not None:
+        if response.names_request and connection.sock is not None:
             seconds = _parse_keep_alive(response.keep_alive)
             self._release_connection(connection, seconds)
+        else:
+            connection.close()
         self._check_response(response, message)
         return response
 
     def _exchange(
         self,
-        connection: http.client.HTTPConnection,
+        connection: UpstreamConnection,
         message: ForwardRequest,
         body: bytes,
         started: float,
     ) -> UpstreamResponse:
+        connection.deadline = message.deadline
         _set_timeout(connection, message.deadline)
         self._send_request(connection, message, body)
-        response = connection.getresponse()
-        chunks = []
-        size = 0
-        while True:
-            _set_timeout(connection, message.deadline)
-            chunk = response.read(READ_CHUNK_BYTES)
-            if not chunk:
-                break
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_RESPONSE_BYTES:
-                raise http.client.HTTPException('response body too large')
-        _check_length(response, message.method, size)
-        self._check_request_id(response, message)
+        with closing(connection.getresponse()) as response:
+            content = read_body(response, message.method, self.memory)
+            return self._make_response(
+                response, message, content, monotonic() - started
+            )
+
+    def _make_response(
+        self,
+        response: http.client.HTTPResponse,
+        message: ForwardRequest,
+        content: bytes,
+        seconds: float,
+    ) -> UpstreamResponse:
+        names_request = self._names_request(response, message)
         headers = strip_hop_by_hop_headers(response.getheaders())
         content_length = response.getheader('Content-Length')
         if message.method == 'HEAD' and content_length is not None:
@@ -289,24 +276,30 @@
         return UpstreamResponse(
             status=response.status,
             headers=headers,
-            body=b''.join(chunks),
-            seconds=monotonic() - started,
+            body=content,
+            seconds=seconds,
             keep_alive=response.getheader('Keep-Alive', ''),
+            names_request=names_request,
         )
 
-    def _check_request_id(
+    def _names_request(
         self,
         response: http.client.HTTPResponse,
         message: ForwardRequest,
-    ) -> None:
-        """Raise `HTTPException` for a response to another request."""
-        if not self.dialect.passes_request_id:
-            return
+    ) -> bool:
+        """Return whether a response carries the id of the request.
+
+        Raises `ForeignResponse` if it carries another id.
+        """
         name = self.dialect.request_id.lower()
-        sent = [text for key, text in message.headers if key.lower() == name]
+        sent = str(message.request)
+        if self.dialect.passes_request_id:
+            ids = (text for key, text in message.headers if key.lower() == name)
+            sent = next(ids, '')
         echoed = response.getheader(name)
-        if echoed is not None and [echoed] != sent[:1]:
-            raise http.client.HTTPException('response to another request')
+        if echoed is not None and echoed != sent:
+            raise ForeignResponse('response to another request')
+        return echoed is not None
 
     def _check_response(
         self, response: UpstreamResponse, message: ForwardRequest
@@ -333,7 +326,7 @@
 
     def _send_request(
         self,
-        connection: http.client.HTTPConnection,
+        connection: UpstreamConnection,
         message: ForwardRequest,
         body: bytes,
     ) -> None:
@@ -377,50 +370,23 @@
         started: float,
     ) -> CallFailed:
         failed_after = monotonic() - started
+        with self.lock:
+            is_cancelled = message.request not in self.running
         if isinstance(error, TimeoutError) or monotonic() >= message.deadline:
             return CallFailed(Outcome.unknown, Refusal.deadline_passed)
         return CallFailed(
             Outcome.unknown,
             Refusal.upstream_failed,
-            crashed=self._is_refusing_connections(),
+            crashed=_is_disconnect(error)
+            and not is_cancelled
+            and upstream_probes.has_ended(self.address),
             is_stale=isinstance(error, ConnectionError)
             and failed_after < STALE_CONNECTION_SECONDS,
         )
 
-    def _is_refusing_connections(self) -> bool:
-        host, _, port = self.address.rpartition(':')
-        try:
-            probe = socket.create_connection(
-                (host, int(port)),
-                timeout=CRASH_PROBE_TIMEOUT_SECONDS,
-            )
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            return False
-        probe.close()
-        return False
-
-
-def strip_hop_by_hop_headers(headers: list[tuple[str, str]]) -> Headers:
-    """Return the end-to-end headers.
-
-    Drops the hop-by-hop headers, those that `Connection` lists, and
-    `Content-Length`, which each hop sets itself.
-    """
-    dropped = set(HOP_BY_HOP_HEADERS)
-    for name, text in headers:
-        if name.lower() == 'connection':
-            dropped.update(part.strip().lower() for part in text.split(','))
-    return tuple(
-        (name, text)
-        for name, text in headers
-        if name.lower() not in dropped and name.lower() != 'content-length'
-    )
-
 
 def _set_timeout(
-    connection: http.client.HTTPConnection,
+    connection: UpstreamConnection,
     deadline: float,
 ) -> None:
     remaining = deadline - monotonic()
@@ -430,18 +396,15 @@
         connection.sock.settimeout(remaining)
 
 
-def _check_length(
-    response: http.client.HTTPResponse,
-    method: str,
-    size: int,
-) -> None:
-    content_length = response.getheader('Content-Length')
-    has_body = method != 'HEAD' and response.status not in {204, 304}
-    if has_body and content_length is not None and int(content_length) != size:
-        raise http.client.IncompleteRead(b'', int(content_length) - size)
+def _is_disconnect(error: Exception) -> bool:
+    """Return whether the upstream closed the connection too early."""
+    return isinstance(
+        error,
+        (ConnectionError, http.client.IncompleteRead),
+    )
 
 
-def _is_reusable(connection: http.client.HTTPConnection) -> bool:
+def _is_reusable(connection: UpstreamConnection) -> bool:
     """Return whether a connection is open and has nothing to read.
 
     Pending input is either the upstream's close or stray data after the last
--- a/packages/node/src/kumquathold_node/upstream_roster.py
+++ b/packages/node/src/kumquathold_node/upstream_roster.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from time import monotonic
 
 import msgspec
 from loguru import logger
@@ -19,6 +20,7 @@
 from kumquathold_node.membership import Membership, UpstreamsChangedEvent
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner_requests import Upstream
+from kumquathold_node.upstream_responses import ResponseMemory
 
 
 class UpstreamRoster:
@@ -39,6 +41,7 @@
         self.metrics: Metrics = kernel.find('metrics')
         self.dialect = dialect
         self.refuse_waiting = refuse_waiting
+        self.response_memory = ResponseMemory()
         self.announcement_tracker = AnnouncementTracker()
         self.upstreams: dict[str, Upstream] = {}
 
@@ -61,10 +64,16 @@
             self.remove(predecessor)
         upstream = self.upstreams.get(record.name)
         if upstream is None:
-            upstream = Upstream(record, announced.expires_at, self.dialect)
+            upstream = Upstream(
+                record,
+                announced.expires_at,
+                self.dialect,
+                self.response_memory,
+            )
             self.upstreams[record.name] = upstream
             self._publish('upstream announced', record)
         upstream.expires_at = announced.expires_at
+        upstream.record_restart()
         if upstream.record != record:
             upstream.record = record
             self._publish('upstream changed', record)
@@ -91,7 +100,10 @@
         floor counts only upstreams that are ready.
         """
         upstream = self.upstreams.get(name)
-        if upstream is None or not upstream.record.ready:
+        if upstream is None:
+            return
+        upstream.record_end(monotonic())
+        if not upstream.record.ready:
             return
         self.metrics.count('owner.upstreams_down')
         upstream.record = msgspec.structs.replace(
--- a/packages/standins/src/kumquathold_standins/upstream.py
+++ b/packages/standins/src/kumquathold_standins/upstream.py
@@ -231,6 +231,9 @@
         *headers: tuple[str, str],
     ) -> None:
         self.send_response(status)
+        request_id = self.headers.get(REQUEST_HEADER)
+        if request_id:
+            self.send_header(REQUEST_HEADER, request_id)
         for name, text in headers:
             self.send_header(name, text)
         self.send_header('Content-Length', str(len(body)))
--- a/tests/test_upstream_calls.py
+++ b/tests/test_upstream_calls.py
@@ -19,8 +19,9 @@
 from tests.test_jobs import WORK
 
 RESPONSE = (
-    b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=9\r\n\r\nok'
-)
+    'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=9\r\n'
+    f'Kumquathold-Request: {WORK.request}\r\n\r\nok'
+).encode()
 RUN_SECONDS = 0.3
 DEADLINE_SECONDS = 5.0
 
