End a draining node only when no caller's connection holds a request

Cause: after its port was closed, a draining node waited 0.3 s and ended. Ruled out: a longer pause, which only moves the bound. Change: the server's own thread closes the connections on which nothing has arrived, runs or waits to be written, and the node ends once none is left, or at the end of its grace period.

--- a/packages/node/src/kumquathold_node/caller_server.py
+++ b/packages/node/src/kumquathold_node/caller_server.py
@@ -14,11 +14,10 @@
 import waitress.channel
 import waitress.server
 import waitress.task
-import waitress.wasyncore
 from loguru import logger
 
 from kumquathold_core.forwarding import Outcome, Refusal
-from kumquathold_node import caller_requests
+from kumquathold_node import caller_connections, caller_requests
 from kumquathold_node.caller_requests import (
     CallerRequest,
     CallerResponse,
@@ -72,7 +71,16 @@
     def close(self) -> None:
         """Stop accepting connections."""
         if self.server is not None:
-            stop_listening(self.server)
+            caller_connections.stop_listening(self.server)
+
+    def close_idle_connections(self) -> int:
+        """Close the connections without a request; return how many are left.
+
+        Raises `TimeoutError` if the server is too busy to do so.
+        """
+        if self.server is None:
+            return 0
+        return caller_connections.close_idle(self.server)
 
     @contextmanager
     def track_request(self) -> Iterator[None]:
@@ -272,15 +280,5 @@
     try:
         yield server
     finally:
-        stop_listening(server)
+        caller_connections.stop_listening(server)
         server.task_dispatcher.shutdown(cancel_pending=False, timeout=0)
-
-
-def stop_listening(server: waitress.server.BaseWSGIServer) -> None:
-    """Stop accepting connections; open connections stay open.
-
-    The listening socket is closed on the server's own thread, which owns it.
-    """
-    server.trigger.pull_trigger(
-        lambda: waitress.wasyncore.dispatcher.close(server),
-    )
--- a/packages/node/src/kumquathold_node/shutdown.py
+++ b/packages/node/src/kumquathold_node/shutdown.py
@@ -2,8 +2,10 @@
 
 The node announces to the fleet that it leaves and refuses new requests for its
 upstreams. It goes on taking callers' requests, with `Connection: close` in each
-response, until none arrived for the idle period, and then waits for those in
-flight. Its rate groups are released meanwhile, for other nodes to take.
+response, until none arrived for the idle period, and then stops listening. A
+request may still arrive on an open connection, so the node ends only once it
+has closed each connection while nothing was in flight there. Its rate groups
+are released meanwhile, for other nodes to take.
 
 In fields and refusals, `leaving` is the outer name for draining.
 """
@@ -36,8 +38,6 @@
 """Share of the grace period after which draining ends in any case."""
 
 POLL_INTERVAL_SECONDS = 0.05
-RESPONSE_FLUSH_SECONDS = 0.15
-"""Time for the last responses to be written to their connections."""
 
 
 class GracefulShutdown:
@@ -84,10 +84,9 @@
             MAX_DRAIN_SECONDS, self.grace * DRAIN_END_SHARE
         )
         self._wait_for_idle_period(requested_at, end_at)
-        is_drained = self._wait_for_in_flight(end_at)
+        self._wait_for_running(end_at)
         self.request_gate.close()
-        sleep(RESPONSE_FLUSH_SECONDS)
-        self._wait_for_in_flight(monotonic() + RESPONSE_FLUSH_SECONDS)
+        is_drained = self._wait_for_connections(end_at)
         logger.info('graceful shutdown finished', all_finished=is_drained)
 
     def _wait_for_idle_period(self, requested_at: float, end_at: float) -> None:
@@ -97,9 +96,25 @@
                 return
             sleep(POLL_INTERVAL_SECONDS)
 
-    def _wait_for_in_flight(self, end_at: float) -> bool:
+    def _wait_for_running(self, end_at: float) -> None:
+        while self._count_running() and monotonic() < end_at:
+            sleep(POLL_INTERVAL_SECONDS)
+
+    def _wait_for_connections(self, end_at: float) -> bool:
+        """Close the callers' connections; return whether all requests ended."""
         while monotonic() < end_at:
-            if not self.request_gate.in_flight and not self.owner.in_flight:
+            if not self._count_open_connections() and not self._count_running():
                 return True
             sleep(POLL_INTERVAL_SECONDS)
         return False
+
+    def _count_open_connections(self) -> int:
+        """Close idle connections, and return the number of the others."""
+        try:
+            return self.request_gate.close_idle_connections()
+        except TimeoutError:
+            logger.warning("callers' connections not closed in time")
+            return 1
+
+    def _count_running(self) -> int:
+        return self.request_gate.in_flight + self.owner.in_flight
