Report an acceptance as unknown until a read settles a lost reply

Cause: when the reply to the switch of the manifest was lost and the store then refused the retry, the acceptance was reported as not accepted, although the first attempt may have taken effect. Change: only a refusal of the first attempt is reported so. After a lost reply, the history key is read; as long as it does not tell, the outcome is unknown.

--- a/packages/node/src/kumquathold_node/acceptance.py
+++ b/packages/node/src/kumquathold_node/acceptance.py
@@ -8,6 +8,7 @@
 
 import datetime
 import uuid
+from collections.abc import Sequence
 from time import monotonic, sleep
 
 import msgspec
@@ -173,19 +174,28 @@
     whether an earlier attempt took effect.
     """
     deadline = monotonic() + SWITCH_TIMEOUT_SECONDS
-    is_first = True
-    while is_first or monotonic() < deadline:
-        is_first = False
+    cause = ''
+    try:
+        if _try_switch(store, manifest, revision):
+            return
+    except StoreUnavailable as error:
+        cause = str(error)
+    except StoreError as error:
+        raise NotAccepted(str(error)) from error
+    while monotonic() < deadline:
+        sleep(SWITCH_RETRY_SECONDS)
         try:
             if _try_switch(store, manifest, revision):
                 return
-        except StoreUnavailable:
-            sleep(SWITCH_RETRY_SECONDS)
         except StoreError as error:
-            raise NotAccepted(str(error)) from error
+            # A refusal says nothing about the attempt whose reply was lost.
+            cause = str(error)
+            if _is_accepted(store, manifest):
+                return
     raise OutcomeUnknown(
-        f'the store did not respond to the switch to version'
-        f' {manifest.version} within {SWITCH_TIMEOUT_SECONDS:g} s'
+        f'no reply of the store tells whether the switch to version'
+        f' {manifest.version} took effect within'
+        f' {SWITCH_TIMEOUT_SECONDS:g} s; the last attempt failed: {cause}'
     )
 
 
@@ -208,7 +218,31 @@
     )
     if swap.succeeded:
         return True
-    for stored in swap.found:
+    return _find_acceptance(swap.found, manifest)
+
+
+def _is_accepted(store: KeyValueStore, manifest: Manifest) -> bool:
+    """Read whether an earlier attempt took effect; false if the read fails.
+
+    Raises `Conflict` if another acceptance of the version did.
+    """
+    try:
+        reading = store.read(store_keys.history_key(manifest.version))
+    except StoreError:
+        return False
+    return _find_acceptance(reading.found, manifest)
+
+
+def _find_acceptance(
+    found: Sequence[StoredValue],
+    manifest: Manifest,
+) -> bool:
+    """Return whether the history names this acceptance of the version.
+
+    Raises `Conflict` if it names another one.
+    """
+    history_key = store_keys.history_key(manifest.version)
+    for stored in found:
         if stored.key == history_key:
             other = configuration.decode_manifest(stored)
             if other.acceptance == manifest.acceptance:
--- /dev/null
+++ b/tests/test_acceptance.py
@@ -0,0 +1,99 @@
+"""Acceptance of a configuration whose replies from the store are lost."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Sequence
+from types import SimpleNamespace
+from typing import Any
+from unittest import mock
+
+from kumquathold_core import store_keys
+from kumquathold_node import acceptance
+from kumquathold_node.kernel import Kernel
+from kumquathold_node.metrics import Metrics
+from kumquathold_node.store import (
+    ReadResult,
+    StoreRefused,
+    StoreUnavailable,
+    SwapResult,
+    Write,
+)
+from tests.site_store import SiteStore, serving_store
+from tests.support import make_rules
+from tests.test_site_platform import PlatformStore
+
+SWITCH_TIMEOUT_SECONDS = 0.5
+
+
+class LossyStore(PlatformStore):
+    """Store that loses the reply to a switch, and refuses what follows."""
+
+    def __init__(self, address: str) -> None:
+        super().__init__(address, Metrics(None))
+        self.applies_lost_switch = True
+        self.loses_reply = True
+        self.refuses_reads = False
+        self.is_refusing = False
+
+    def swap(self, writes: Sequence[Write]) -> SwapResult:
+        is_switch = writes[0].key == store_keys.MANIFEST_KEY
+        if is_switch and self.is_refusing:
+            raise StoreRefused('status 403')
+        if not is_switch or not self.loses_reply:
+            return super().swap(writes)
+        self.is_refusing = True
+        if self.applies_lost_switch:
+            super().swap(writes)
+        raise StoreUnavailable('no reply')
+
+    def read(self, key: str) -> ReadResult:
+        if self.is_refusing and self.refuses_reads:
+            raise StoreRefused('status 403')
+        return super().read(key)
+
+
+class LostReplyTest(unittest.TestCase):
+    """A refused retry says nothing about the attempt before it."""
+
+    def setUp(self) -> None:
+        address = self.enterContext(serving_store(SiteStore()))
+        self.store = LossyStore(address)
+        self.kernel = Kernel()
+        service: Any = SimpleNamespace(
+            task=SimpleNamespace(post=bool), notify_all_peers=bool
+        )
+        self.kernel.register('store', self.store)
+        self.kernel.register('configuration', service)
+        self.enterContext(
+            mock.patch.object(
+                acceptance, 'SWITCH_TIMEOUT_SECONDS', SWITCH_TIMEOUT_SECONDS
+            )
+        )
+
+    def accept(self) -> int:
+        """Accept the first version of the rules; return its number."""
+        proposal = acceptance.Proposal(make_rules(), 0, 'me', 'first')
+        return acceptance.accept(self.kernel, proposal).version
+
+    def test_read_settles_a_switch_that_took_effect(self) -> None:
+        self.assertEqual(self.accept(), 1)
+
+    def test_outcome_is_unknown_while_reads_are_refused(self) -> None:
+        self.store.refuses_reads = True
+        with self.assertRaises(acceptance.OutcomeUnknown):
+            self.accept()
+
+    def test_outcome_is_unknown_if_the_switch_may_still_arrive(self) -> None:
+        self.store.applies_lost_switch = False
+        with self.assertRaises(acceptance.OutcomeUnknown):
+            self.accept()
+
+    def test_refused_first_switch_was_not_accepted(self) -> None:
+        self.store.is_refusing = True
+        with self.assertRaises(acceptance.NotAccepted):
+            self.accept()
+
+
+if __name__ == '__main__':
+    unittest.main()
