Hand on no more time than the caller has left

A deadline was converted to the owner's clock by the highest value that this clock can show, late by up to the round trip of a heartbeat, and the last reading was kept, however slow its link. And the time that a complete request waits for a thread of the server was not counted, as its arrival was noted by that thread. The arrival is noted as the first bytes of a request are read.

--- a/packages/node/src/kumquathold_node/caller_requests.py
+++ b/packages/node/src/kumquathold_node/caller_requests.py
@@ -22,6 +22,9 @@
 from kumquathold_node.upstream_calls import OUTCOME_HEADER
 from kumquathold_node.upstream_responses import strip_hop_by_hop_headers
 
+ARRIVED_AT = 'kumquathold.arrived_at'
+"""Key of the WSGI environment for the arrival, by the monotonic clock."""
+
 AUTHORIZATION = 'authorization'
 BEARER = 'Bearer '
 IDEMPOTENCY_HEADER = 'idempotency-key'
@@ -171,7 +174,7 @@
         key=key,
         idempotency_key=by_name.get(IDEMPOTENCY_HEADER, '').strip(),
         timeout=_parse_timeout(by_name, dialect),
-        arrived_at=monotonic(),
+        arrived_at=environ.get(ARRIVED_AT, monotonic()),
         body=environ['wsgi.input'].read(),
         is_disconnected=environ.get(
             'waitress.client_disconnected', _assume_connected
--- a/packages/node/src/kumquathold_node/caller_server.py
+++ b/packages/node/src/kumquathold_node/caller_server.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import waitress.channel
+import waitress.parser
 import waitress.server
 import waitress.task
 from loguru import logger
@@ -106,7 +107,7 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         with request_gate.track_request():
-            started_at = monotonic()
+            arrived_at = environ.get(caller_requests.ARRIVED_AT, monotonic())
             request_id = ''
             try:
                 request = caller_requests.read_request(environ, dialect)
@@ -123,7 +124,7 @@
                     dialect,
                 )
                 body = response.body
-            metrics.time('ingress.request', monotonic() - started_at)
+            metrics.time('ingress.request', monotonic() - arrived_at)
             headers = _response_headers(response, request_id, dialect)
             start_response(_status_line(response.status), headers)
             return [body]
@@ -220,9 +221,29 @@
             self.set_close_on_finish()
         super().execute()
 
+    def get_environment(self) -> dict[str, Any]:
+        """Return the WSGI environment, with the time of arrival."""
+        environ: dict[str, Any] = super().get_environment()
+        environ[caller_requests.ARRIVED_AT] = self.request.arrived_at
+        return environ
+
+
+class _TimedParser(waitress.parser.HTTPRequestParser):
+    """Notes when the first bytes of a request arrive.
+
+    All worker threads may be busy when it is complete. The time that it waits
+    for one counts against its deadline.
+    """
+
+    def __init__(self, adjustments: Any) -> None:
+        """Note the time."""
+        super().__init__(adjustments)
+        self.arrived_at = monotonic()
+
 
 class _Channel(waitress.channel.HTTPChannel):
     error_task_class = _ProblemTask
+    parser_class = _TimedParser
     task_class = _ClosingTask
 
 
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -17,7 +17,7 @@
 import msgspec
 from loguru import logger
 
-from kumquathold_core import gossip, member_table
+from kumquathold_core import gossip, member_table, peer_clock
 from kumquathold_core.peer_clock import PeerClockReading
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.kernel import Kernel, Task
@@ -273,6 +273,10 @@
             incarnation=envelope.incarnation,
             clock=pong.clock,
             requested_at=heartbeat.sent_at,
+            received_at=monotonic(),
+        )
+        reading = peer_clock.select_reading(
+            self.clock_readings.get(envelope.sender), reading
         )
         self.clock_readings[envelope.sender] = reading
         for reply in self.clock_waiters.pop(envelope.sender, ()):
