Read the soak's ledger last, and remove what nothing uses

Cause: the ledger was read before the recorder's lock was taken. A request that ran and was answered in between stood in the history without its run, which the interim check reported, and the faults then ended early. Change: the records are copied first. Five names that nothing used are gone, and a comment names the failure rate that its constant has. Result: a test of the recorder, which reports a violation with the old order.

--- a/packages/cli/src/kumquathold_cli/changes.py
+++ b/packages/cli/src/kumquathold_cli/changes.py
@@ -28,10 +28,6 @@
     """A change failed, or its outcome is unknown."""
 
 
-class BaseUnknown(ChangeError):
-    """The file does not name the version that it is based on."""
-
-
 class VersionConflict(ChangeError):
     """Another version was accepted since the base version."""
 
--- a/packages/cli/src/kumquathold_cli/main.py
+++ b/packages/cli/src/kumquathold_cli/main.py
@@ -9,7 +9,7 @@
 import getpass
 import json
 import sys
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -28,8 +28,6 @@
 EXIT_OUTCOME_UNKNOWN = 5
 EXIT_ROLLOUT_INCOMPLETE = 6
 
-Command = Callable[..., None]
-
 
 @contextmanager
 def report_errors() -> Iterator[None]:
--- a/packages/core/src/kumquathold_core/failure_risk.py
+++ b/packages/core/src/kumquathold_core/failure_risk.py
@@ -2,7 +2,7 @@
 
 A two-state hidden Markov model: an upstream is gray, so that it fails most
 requests for several seconds while its health check passes, or healthy, so that
-it fails about one in a hundred. Each outcome updates the belief that it is
+it fails about one in fifty. Each outcome updates the belief that it is
 gray by Bayes' rule. Between outcomes the belief relaxes towards the share of
 gray upstreams, because gray periods begin and end without being observed. One
 failure makes an upstream suspect for some seconds; one success clears it.
--- a/packages/node/src/kumquathold_node/claims_service.py
+++ b/packages/node/src/kumquathold_node/claims_service.py
@@ -42,7 +42,6 @@
 """Time without calls to the store after it failed."""
 
 TICK_SECONDS = 0.5
-OUTCOME_TIMEOUT_SECONDS = 1.0
 ABANDONED_CLAIM_SECONDS = 30.0
 """How long the claim of a refused request is looked for, to delete it."""
 
@@ -109,9 +108,6 @@
     expected_revision: int
     """Revision that the key must have; 0 if it must be absent."""
 
-    requested_at: float
-    """Time of the request to write it, in seconds of the monotonic clock."""
-
     result: UpstreamResponse | CallFailed | None = None
     """The response or failure of the call; `None` for a new claim."""
 
@@ -178,9 +174,7 @@
             upstream=request.message.upstream,
             claimed_at=datetime.datetime.now(datetime.UTC).isoformat(),
         )
-        self.task.post(
-            PendingWrite(request, _key_of(request), claim, 0, monotonic())
-        )
+        self.task.post(PendingWrite(request, _key_of(request), claim, 0))
 
     def store_outcome(
         self,
@@ -225,7 +219,6 @@
             key=key,
             claim=_make_final_claim(claim, result),
             expected_revision=revision,
-            requested_at=monotonic(),
             result=result,
             is_delete=(
                 isinstance(result, CallFailed)
--- a/packages/node/src/kumquathold_node/configuration.py
+++ b/packages/node/src/kumquathold_node/configuration.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import random
 import threading
 from collections.abc import Callable
 from time import monotonic
@@ -289,7 +288,6 @@
         self.last_poll_at = -POLL_SECONDS
         self.last_ping_at = -POLL_SECONDS
         self.revision = 0
-        self.rng = random.Random(settings.peer)
         self.task = Task(
             'configuration-reader',
             {},
--- a/packages/standins/src/kumquathold_standins/soak.py
+++ b/packages/standins/src/kumquathold_standins/soak.py
@@ -225,7 +225,7 @@
         return bool(recent) and served >= RECOVERED_SHARE * len(recent)
 
     def _history(self) -> History:
-        return self.recorder.make_history(self.fleet.ledger())
+        return self.recorder.make_history(self.fleet.ledger)
 
     def _find_violations(self, history: History) -> list[Violation]:
         return [*find_violations(history), *self._find_unexpected_exits()]
--- a/packages/standins/src/kumquathold_standins/soak_history.py
+++ b/packages/standins/src/kumquathold_standins/soak_history.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 
 import msgspec
 
@@ -120,13 +121,18 @@
             else:
                 self.ended.append(record)
 
-    def make_history(self, runs: list[Run]) -> History:
-        """Return the records so far, with runs read from the ledger."""
+    def make_history(self, read_ledger: Callable[[], list[Run]]) -> History:
+        """Return the records so far, with the runs of the ledger.
+
+        The ledger is read last, so that it has the run of each request whose
+        response is recorded.
+        """
         with self.lock:
-            return History(
+            history = History(
                 sent=tuple(self.sent),
                 accepted=tuple(self.accepted),
                 ended=tuple(self.ended),
-                runs=tuple(runs),
+                runs=(),
                 healed_at=self.healed_at,
             )
+        return msgspec.structs.replace(history, runs=tuple(read_ledger()))
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -256,12 +256,25 @@
         ended = ShutdownRecord('node-0', (0, 0), 1.0, 2.0)
         for seen in (REQUEST, VERSIONS[0], ended):
             recorder.record(seen)
-        history = recorder.make_history([RUN])
+        history = recorder.make_history(lambda: [RUN])
         self.assertEqual(history.sent, (REQUEST,))
         self.assertEqual(history.accepted, VERSIONS[:1])
         self.assertEqual(history.ended, (ended,))
         self.assertEqual(history.runs, (RUN,))
 
+    def test_ledger_is_read_after_the_requests(self) -> None:
+        recorder = Recorder()
+        runs: list[Run] = []
+
+        def read_while_a_request_ends() -> list[Run]:
+            before = list(runs)
+            runs.append(RUN)
+            recorder.record(REQUEST)
+            return before
+
+        history = recorder.make_history(read_while_a_request_ends)
+        self.assertEqual(find_violations(history), [])
+
 
 if __name__ == '__main__':
     unittest.main()
