Start threads for requests as they are needed

Cause: each HTTP server of a node kept its full number of threads from the start, 48 for callers and 4 for each other address. Ruled out: fewer threads, which would make requests wait under load; one pool for all addresses, as a blocked operator's call would then hold up announcements. Change: requests run on a pool of concurrent.futures in the place of waitress's dispatcher. The servers stand in a module of their own, apart from the callers' application.

--- a/packages/node/src/kumquathold_node/administration.py
+++ b/packages/node/src/kumquathold_node/administration.py
@@ -21,10 +21,11 @@
 from kumquathold_core.rules_file import RulesErrors, list_errors
 from kumquathold_node import acceptance, claim_resolution
 from kumquathold_node.balancer import Balancer
-from kumquathold_node.caller_server import RequestGate, StartResponse, WsgiApp
+from kumquathold_node.caller_server import RequestGate
 from kumquathold_node.configuration import ConfigurationService
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.health import is_ready
+from kumquathold_node.http_server import StartResponse, WsgiApp
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import Membership, PingCommand
 from kumquathold_node.metrics import Metrics
--- a/packages/node/src/kumquathold_node/health.py
+++ b/packages/node/src/kumquathold_node/health.py
@@ -5,9 +5,10 @@
 from collections.abc import Iterable
 from typing import Any
 
-from kumquathold_node.caller_server import RequestGate, StartResponse, WsgiApp
+from kumquathold_node.caller_server import RequestGate
 from kumquathold_node.configuration import ConfigurationService
 from kumquathold_node.dialect import CallerDialect
+from kumquathold_node.http_server import StartResponse, WsgiApp
 from kumquathold_node.kernel import Kernel
 
 
--- /dev/null
+++ b/packages/node/src/kumquathold_node/http_server.py
@@ -0,0 +1,188 @@
+"""HTTP servers of a node, by waitress.
+
+Requests run on threads that are started as they are needed.
+"""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from http import HTTPStatus
+from time import monotonic
+from typing import Any
+
+import waitress.channel
+import waitress.parser
+import waitress.server
+import waitress.task
+from loguru import logger
+
+from kumquathold_core.forwarding import Outcome, Refusal
+from kumquathold_node import caller_connections, caller_requests
+from kumquathold_node.caller_requests import RequestRefused
+from kumquathold_node.dialect import CallerDialect
+
+MAX_BODY_BYTES = 67_108_864
+MAX_HEADER_BYTES = 262_144
+MAX_BUFFERED_BYTES = MAX_BODY_BYTES * 2
+"""Buffers above this size go to disk, which no allowed body reaches."""
+
+CONNECTION_LIMIT = 4000
+IDLE_CONNECTION_SECONDS = 60
+LISTEN_BACKLOG = 1024
+
+StartResponse = Callable[..., Any]
+WsgiApp = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
+
+
+def format_status(status: int) -> str:
+    """Return a status with its phrase, for a status line."""
+    try:
+        return f'{status} {HTTPStatus(status).phrase}'
+    except ValueError:
+        return f'{status} Unassigned'
+
+
+class ThreadDispatcher:
+    """Runs requests on a pool of threads, in the place of waitress's own.
+
+    A thread is started only if none is idle, up to a limit, so that a node
+    without load has few of them.
+    """
+
+    def __init__(self, name: str, max_threads: int) -> None:
+        """Start without threads."""
+        self.executor = ThreadPoolExecutor(max_threads, name)
+
+    def add_task(self, channel: waitress.channel.HTTPChannel) -> None:
+        """Run the requests of a channel on a thread."""
+        self.executor.submit(self._serve, channel)
+
+    def shutdown(
+        self,
+        cancel_pending: bool = True,  # noqa: FBT001, FBT002
+        timeout: float = 0,
+    ) -> None:
+        """Start no further requests; running ones continue."""
+        self.executor.shutdown(wait=False, cancel_futures=cancel_pending)
+
+    def _serve(self, channel: waitress.channel.HTTPChannel) -> None:
+        try:
+            channel.service()
+        except Exception:
+            logger.exception('request failed in the server')
+
+
+class _ProblemTask(waitress.task.ErrorTask):
+    """Returns problem details for requests that waitress itself refuses."""
+
+    def execute(self) -> None:
+        """Write the problem details and close the connection."""
+        error = self.request.error
+        refused = RequestRefused(Refusal.malformed)
+        if error.code == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+            refused = RequestRefused(Refusal.body_too_large)
+        elif error.code >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            refused = RequestRefused(Refusal.internal_error, Outcome.unknown)
+        response = caller_requests.make_problem(refused, '', CallerDialect())
+        self.status = format_status(response.status)
+        self.response_headers.extend(response.headers)
+        self.set_close_on_finish()
+        self.content_length = len(response.body)
+        self.write(response.body)
+
+
+class _ClosingTask(waitress.task.WSGITask):
+    """Closes connections of a draining node, so that callers use another."""
+
+    def execute(self) -> None:
+        """Handle the request; close the connection if the node drains."""
+        if self.channel.server.is_draining():
+            self.set_close_on_finish()
+        super().execute()
+
+    def get_environment(self) -> dict[str, Any]:
+        """Return the WSGI environment, with the time of arrival."""
+        environ: dict[str, Any] = super().get_environment()
+        environ[caller_requests.ARRIVED_AT] = self.request.arrived_at
+        return environ
+
+
+class _TimedParser(waitress.parser.HTTPRequestParser):
+    """Notes when the first bytes of a request arrive.
+
+    All worker threads may be busy when it is complete. The time that it waits
+    for one counts against its deadline.
+    """
+
+    def __init__(self, adjustments: Any) -> None:
+        """Note the time."""
+        super().__init__(adjustments)
+        self.arrived_at = monotonic()
+
+
+class _Channel(waitress.channel.HTTPChannel):
+    error_task_class = _ProblemTask
+    parser_class = _TimedParser
+    task_class = _ClosingTask
+
+
+class _LogBridge(logging.Handler):
+    """Forwards the log records of waitress to the log of the node."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        logger.warning(record.getMessage(), source=record.name)
+
+
+def bridge_library_logs() -> None:
+    """Forward the errors that waitress logs to the log of the node."""
+    library = logging.getLogger('waitress')
+    library.handlers = [_LogBridge()]
+    library.setLevel(logging.ERROR)
+    library.propagate = False
+
+
+@contextmanager
+def serving(
+    app: WsgiApp,
+    address: str,
+    threads: int,
+    is_draining: Callable[[], bool] = bool,
+) -> Iterator[waitress.server.BaseWSGIServer]:
+    """Serve HTTP on `address` while the block runs, on `threads` at most.
+
+    While `is_draining` returns true, connections are closed after a response.
+    """
+    server = waitress.server.create_server(
+        app,
+        listen=address,
+        ident='',
+        backlog=LISTEN_BACKLOG,
+        connection_limit=CONNECTION_LIMIT,
+        channel_timeout=IDLE_CONNECTION_SECONDS,
+        channel_request_lookahead=1,
+        max_request_body_size=MAX_BODY_BYTES,
+        max_request_header_size=MAX_HEADER_BYTES,
+        inbuf_overflow=MAX_BUFFERED_BYTES,
+        outbuf_overflow=MAX_BUFFERED_BYTES,
+        asyncore_use_poll=True,
+        clear_untrusted_proxy_headers=False,
+        _dispatcher=ThreadDispatcher(f'http {address}', threads),
+    )
+    server.channel_class = _Channel
+    server.is_draining = is_draining
+    thread = threading.Thread(
+        target=server.run,
+        name=f'http {address}',
+        daemon=True,
+    )
+    thread.start()
+    try:
+        yield server
+    finally:
+        caller_connections.stop_listening(server)
+        server.task_dispatcher.shutdown(cancel_pending=False)
--- a/packages/node/src/kumquathold_node/main.py
+++ b/packages/node/src/kumquathold_node/main.py
@@ -17,13 +17,14 @@
     BUDGET_RETRIES_PER_REQUEST,
     BUDGET_WINDOW_SECONDS,
 )
-from kumquathold_node import caller_server, logs
+from kumquathold_node import http_server, logs
 from kumquathold_node import settings as node_settings
 from kumquathold_node.adapter import Adapter, default_adapter
 from kumquathold_node.administration import make_administration_app
-from kumquathold_node.caller_server import make_caller_app, serving
+from kumquathold_node.caller_server import make_caller_app
 from kumquathold_node.composition import assemble
 from kumquathold_node.health import make_health_app
+from kumquathold_node.http_server import serving
 from kumquathold_node.metrics import make_metrics_app
 from kumquathold_node.seeds import Seeds
 from kumquathold_node.settings import Settings
@@ -45,7 +46,7 @@
     transport: Transport = kernel.find('transport')
     shutdown: GracefulShutdown = kernel.find('shutdown')
     seeds = Seeds(kernel, settings)
-    caller_server.bridge_library_logs()
+    http_server.bridge_library_logs()
     # Installed before the first request is taken: the default action of a
     # signal would end the process and cut the request off.
     _handle_signals(shutdown)
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -11,7 +11,8 @@
 from types import SimpleNamespace
 from typing import Any
 
-from kumquathold_node.caller_server import RequestGate, serving
+from kumquathold_node.caller_server import RequestGate
+from kumquathold_node.http_server import serving
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.shutdown import GracefulShutdown
 
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -15,12 +15,9 @@
 from kumquathold_core import peer_clock
 from kumquathold_core.peer_clock import PeerClockReading
 from kumquathold_node.caller_requests import CallerRequest, CallerResponse
-from kumquathold_node.caller_server import (
-    RequestGate,
-    make_caller_app,
-    serving,
-)
+from kumquathold_node.caller_server import RequestGate, make_caller_app
 from kumquathold_node.dialect import CallerDialect
+from kumquathold_node.http_server import serving
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.metrics import Metrics
 from kumquathold_standins.caller import Caller
