Split calls and crash reports from the owner

Change: calls on worker threads stand in owner_calls, and the reports of crashes that owners share in crash_reports. What they do is as before.

--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -16,22 +16,22 @@
 import msgspec
 from loguru import logger
 
-from kumquathold_core import (
-    admission,
-    crash_tracker,
-    forwarding,
-    reassembly,
-    wire,
-)
+from kumquathold_core import admission, forwarding, reassembly, wire
 from kumquathold_core.forwarding import Outcome, Refusal
 from kumquathold_core.request_registry import RequestRegistry
 from kumquathold_node import claims_service, owner_outcomes
 from kumquathold_node.announcements import AnnouncedEvent, DeregisteredEvent
 from kumquathold_node.configuration import ConfigurationService
+from kumquathold_node.crash_reports import CrashReports
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import Membership
 from kumquathold_node.metrics import Metrics
+from kumquathold_node.owner_calls import (
+    CallFailedEvent,
+    CallSucceededEvent,
+    OwnerCalls,
+)
 from kumquathold_node.owner_replies import OwnerReplies, make_failure
 from kumquathold_node.owner_requests import (
     CallFailures,
@@ -39,7 +39,6 @@
     Upstream,
 )
 from kumquathold_node.transport import Transport
-from kumquathold_node.upstream_calls import CallFailed, UpstreamCalls
 from kumquathold_node.upstream_responses import UpstreamResponse
 from kumquathold_node.upstream_roster import UpstreamRoster
 
@@ -53,26 +52,6 @@
 """Least age of a connection that a repeated status request resets."""
 
 
-class CallSucceededEvent(msgspec.Struct, frozen=True):
-    """An upstream responded to a request."""
-
-    request: OwnerRequest
-    """The request."""
-
-    response: UpstreamResponse
-    """Its response, which may be an error."""
-
-
-class CallFailedEvent(msgspec.Struct, frozen=True):
-    """A call to an upstream got no response to pass on."""
-
-    request: OwnerRequest
-    """The request."""
-
-    failure: CallFailed
-    """Why, and whether the request ran."""
-
-
 class DrainCommand(msgspec.Struct, frozen=True):
     """Asks the owner to refuse new requests, as its node is draining."""
 
@@ -98,7 +77,7 @@
         )
         self.upstreams = self.roster.upstreams
         self.requests: dict[RequestId, OwnerRequest] = {}
-        self.crash_tracker = crash_tracker.CrashTracker()
+        self.crash_reports = CrashReports(kernel)
         self.is_draining = False
         self.workers = ThreadPoolExecutor(WORKER_THREADS, 'owner-worker')
         self.replies = OwnerReplies(
@@ -113,7 +92,7 @@
                 forwarding.RequestChunk: self.on_request_chunk,
                 forwarding.StatusRequest: self.on_status_request,
                 forwarding.CancelRequest: self.on_cancel_request,
-                forwarding.CrashNotice: self.on_crash_notice,
+                forwarding.CrashNotice: self.crash_reports.on_crash_notice,
                 claims_service.ClaimGrantedEvent: self.on_claim_granted,
                 claims_service.ClaimRefusedEvent: self.on_claim_refused,
                 claims_service.OutcomeStoredEvent: self.on_outcome_stored,
@@ -126,6 +105,7 @@
             tick=self.on_tick,
             tick_seconds=TICK_SECONDS,
         )
+        self.calls = OwnerCalls(self.workers, self.task.post)
         self.transport.deliver_to(self.task)
         kernel.register('owner', self)
         kernel.add_task(self.task)
@@ -251,15 +231,6 @@
             request.is_cancelled = True
             self.metrics.count('owner.cancelled.running')
 
-    def on_crash_notice(
-        self, envelope: Envelope[forwarding.CrashNotice]
-    ) -> None:
-        """Record a crash that a peer reports."""
-        notice = envelope.message
-        self.crash_tracker.record_crash(
-            notice.fingerprint, notice.upstream, monotonic()
-        )
-
     def on_announced(self, announced: AnnouncedEvent) -> None:
         """Update an upstream from its announcement, and reply with its load."""
         upstream = self.roster.announce(announced)
@@ -334,7 +305,7 @@
                 failed=is_failure,
             )
         if not is_failure:
-            self.crash_tracker.record_success(request.fingerprint, monotonic())
+            self.crash_reports.record_success(request)
         self._free_slot(request)
         self.metrics.time('owner.upstream', response.seconds)
         if request.message.claim:
@@ -362,7 +333,7 @@
         if failure.crashed and owner_outcomes.may_have_crashed(
             upstream, request
         ):
-            self._report_crash(request)
+            self.crash_reports.report_crash(request)
         if failure.crashed or failure.reason == Refusal.upstream_unreachable:
             self.roster.record_down(request.message.upstream)
         self._free_slot(request)
@@ -480,10 +451,7 @@
             return Refusal.upstream_leaving
         if self._is_key_withdrawn(message):
             return Refusal.key_unknown
-        is_poison = self.crash_tracker.is_refused(
-            request.fingerprint, monotonic()
-        )
-        if is_poison or message.crashes >= crash_tracker.MAX_CRASHES:
+        if self.crash_reports.is_refused(request):
             return Refusal.crashes_upstreams
         return None
 
@@ -523,23 +491,7 @@
 
     def _call(self, request: OwnerRequest) -> None:
         upstream = self.upstreams[request.message.upstream]
-        self.workers.submit(self._run_call, upstream.calls, request)
-
-    def _run_call(self, calls: UpstreamCalls, request: OwnerRequest) -> None:
-        try:
-            response = calls.run(request.message, request.body)
-        except CallFailed as failure:
-            self.task.post(CallFailedEvent(request, failure))
-            return
-        except Exception:
-            logger.exception('call failed', request=str(request.request_id))
-            unknown_failure = CallFailed(
-                Outcome.unknown,
-                Refusal.upstream_failed,
-            )
-            self.task.post(CallFailedEvent(request, unknown_failure))
-            return
-        self.task.post(CallSucceededEvent(request, response))
+        self.calls.start(upstream.calls, request)
 
     def _free_slot(self, request: OwnerRequest) -> None:
         upstream = self.upstreams.get(request.message.upstream)
@@ -596,31 +548,6 @@
         self.registry.store_failure(failure)
         self.transport.try_send(request.reply_to, failure)
 
-    def _report_crash(self, request: OwnerRequest) -> None:
-        """Blame a request for a crash, unless it has succeeded lately."""
-        if self.crash_tracker.has_succeeded_lately(
-            request.fingerprint, monotonic()
-        ):
-            return
-        count = self.crash_tracker.record_crash(
-            request.fingerprint,
-            request.message.upstream,
-            monotonic(),
-        )
-        logger.warning(
-            'request crashed an upstream',
-            request=str(request.request_id),
-            upstream=request.message.upstream,
-            workspace=request.message.workspace,
-            crashes=count,
-        )
-        notice = forwarding.CrashNotice(
-            fingerprint=request.fingerprint,
-            upstream=request.message.upstream,
-        )
-        for peer in self.membership.table.list_peers():
-            self.transport.try_send(peer, notice)
-
 
 def _backlog_of(upstream: Upstream | None) -> int:
     if upstream is None:
