Keep the retry budget at the owners, where all retries meet

Cause: each ingress had its own part of a service's retry budget. With hundreds of nodes that part is under one retry in ten seconds, so most of the budget lay unused at nodes that needed none while others gave up. Ruled out: larger parts for each ingress, as their sum would pass the budget when all fail at once; an exchange of parts between ingresses, which costs messages between zones. Change: the owner of an upstream keeps its part, earns it from the first attempts that come there, and refuses a retry that it can't afford; the ingress then tries two more owners. A retry that is refused everywhere ends with the failure before it. An owner of an earlier build does not count retries of this one.

--- a/packages/core/src/kumquathold_core/forwarding.py
+++ b/packages/core/src/kumquathold_core/forwarding.py
@@ -142,6 +142,9 @@
     body: bytes
     """First chunk of the body."""
 
+    is_retry: bool = False
+    """Whether an earlier attempt may have reached an upstream."""
+
 
 class BodyChunk(msgspec.Struct, frozen=True, array_like=True):
     """A chunk of a body, after the first."""
--- a/packages/core/src/kumquathold_core/retries.py
+++ b/packages/core/src/kumquathold_core/retries.py
@@ -39,6 +39,7 @@
         Refusal.settled,
         Refusal.answer_not_kept,
         Refusal.store_unavailable,
+        Refusal.retry_budget,
     )
 )
 """Refusals that hold for every upstream, so that a retry is useless."""
@@ -54,20 +55,22 @@
         Refusal.upstream_unreachable,
         Refusal.malformed,
         Refusal.no_upstream,
+        Refusal.retry_budget,
     )
 )
 """Refusals that, with outcome `not_run`, prove that no upstream was reached."""
 
 
 class RetryBudget:
-    """One node's share of the fleet's retry budget for a service.
-
-    In each window, the fleet may retry a share of its requests plus a fixed
-    number. A node earns that share from its own requests. Of its part of the
-    fixed number, half is the capacity of its budget and the rest refills
-    evenly over the window, so that no window exceeds the sum of both. The
-    budget starts empty and is filled only once the node is settled. A node that
-    has just started knows no peers, and would take the whole fleet's budget.
+    """One upstream's part of the fleet's retry budget for its service.
+
+    In each window, a service may get retries for a share of its requests plus
+    a fixed number. An upstream earns that share from the requests that it gets.
+    Of its part of the fixed number, half is the capacity of its budget and the
+    rest refills evenly over the window, so that no window exceeds the sum of
+    both. The budget starts empty and is filled only once its node is settled. A
+    node that has just started knows no peers, and would take the whole fleet's
+    budget.
     """
 
     __slots__ = (
@@ -89,10 +92,10 @@
         self.updated_at = 0.0
 
     def set_limits(self, extra: float, window: float, *, settled: bool) -> None:
-        """Set this node's part of the fixed number of retries in a window.
+        """Set the part of the fixed number of retries in a window.
 
         `extra` is that part, `window` its length in seconds; `settled` says
-        whether the node knows its share well enough to fill the budget.
+        whether the node knows its part well enough to fill the budget.
         """
         self.capacity = max(1.0, extra * BUDGET_BURST_SHARE)
         self.refill_rate = extra * (1 - BUDGET_BURST_SHARE) / window
--- a/packages/node/src/kumquathold_node/attempts.py
+++ b/packages/node/src/kumquathold_node/attempts.py
@@ -126,6 +126,7 @@
         'context',
         'crashes',
         'is_counted_bad',
+        'is_retry',
         'last_contact_at',
         'owner_incarnation',
         'request_id',
@@ -141,11 +142,15 @@
         admitted: AdmittedRequest,
         selection: Selection,
         crashes: int,
+        *,
+        is_retry: bool,
     ) -> None:
         """Create the id of the attempt.
 
-        `crashes` is the number of upstreams that the request has crashed.
+        `crashes` is the number of upstreams that the request has crashed, and
+        `is_retry` says whether it may have reached one before.
         """
+        self.is_retry = is_retry
         self.context = context
         self.admitted = admitted
         self.selection = selection
@@ -240,6 +245,7 @@
             body_bytes=len(request.body),
             body_digest=admitted.body_digest,
             body=first,
+            is_retry=self.is_retry,
         )
         self.context.transport.send_with_body(
             self.owner,
--- a/packages/node/src/kumquathold_node/composition.py
+++ b/packages/node/src/kumquathold_node/composition.py
@@ -72,7 +72,7 @@
     kernel.register('call-failures', CallFailures())
     PendingRequests(kernel)
     ClaimsService(kernel, settings)
-    Owner(kernel, adapter.upstream_dialect)
+    Owner(kernel, adapter.upstream_dialect, settings)
     RateHolder(kernel, settings)
     RateElection(kernel, settings)
     RateClient(kernel, settings)
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
+import math
 import random
-import threading
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
 from http import HTTPStatus
@@ -21,7 +21,7 @@
 from kumquathold_core.forwarding import Headers, Outcome, Refusal
 from kumquathold_core.freshness_tracker import FreshnessState
 from kumquathold_core.placement import DEFAULT_OBJECTIVE_SECONDS
-from kumquathold_core.retries import AttemptFailure, RetryBudget
+from kumquathold_core.retries import AttemptFailure
 from kumquathold_core.rules import (
     Route,
     StalePolicy,
@@ -58,8 +58,14 @@
 NESTED_CALL_RANK = -1
 """Priority of requests that upstreams make while they run a request."""
 
-PEER_DISCOVERY_SECONDS = 2.0
-"""Uptime from which a node that knows no peer counts as alone."""
+RETURNED_REFUSALS = REROUTED_REFUSALS | {Refusal.retry_budget}
+"""Refusals by which an owner says that others may take the request."""
+
+MAX_BUDGET_REFUSALS = 3
+"""Owners without a retry left after which a request is not retried."""
+
+TRIAL_PAUSE_SECONDS = 2.0
+"""Time without trials of suspect upstreams after a retry was refused."""
 
 STARTUP_TIMEOUT_SECONDS = 1.0
 """Wait for the first configuration, and for the first upstream of a service."""
@@ -88,12 +94,18 @@
     arrivals: int = 0
     """Attempts that may have reached an upstream."""
 
+    budget_refusals: int = 0
+    """Owners that refused a retry for want of a retry budget."""
+
     crashes: int = 0
     """Attempts that crashed an upstream."""
 
     response: CallerResponse | None = None
     """The latest error response of an upstream."""
 
+    failure: AttemptFailure | None = None
+    """The latest failure that led to a retry."""
+
 
 class Ingress:
     """Admits requests and runs their attempts, on the caller's thread."""
@@ -116,20 +128,13 @@
         self.call_failures: CallFailures = kernel.find('call-failures')
         self.rate_client: RateClient = kernel.find('rate-client')
         self.metrics: Metrics = kernel.find('metrics')
-        self.retry_ratio = settings.retry_ratio
-        self.retry_extra = settings.retry_extra
-        self.retry_window = settings.retry_window
-        self.started_at = monotonic()
-        self.budgets: dict[str, RetryBudget] = {}
-        self.budget_lock = threading.Lock()
+        self.budget_spent_at: dict[str, float] = {}
         kernel.register('ingress', self)
 
     def handle(self, request: CallerRequest) -> CallerResponse:
         """Return the response to a request; raises `RequestRefused`."""
         with self.metrics.timed('ingress.admission'):
             admitted = self._admit(request)
-        with self.budget_lock:
-            self._get_budget(admitted.service.name).earn(monotonic())
         if admitted.rank != NESTED_CALL_RANK:
             return self._run_attempts(admitted)
         try:
@@ -269,6 +274,7 @@
             history.crashes += 1 if ended.crashed else 0
             if not self._may_retry(admitted, history, ended):
                 return self._give_up(history, ended)
+            history.failure = ended
             self.metrics.count(f'ingress.retries.{ended.reason.value}')
 
     def _is_retryable_error(
@@ -287,6 +293,8 @@
         """
         if history.response is not None:
             return history.response
+        if ended.reason == Refusal.retry_budget:
+            ended = history.failure or ended
         outcome = retries.combine_outcomes(history.outcomes)
         raise RequestRefused(ended.reason, outcome, ended.retry_after)
 
@@ -309,18 +317,10 @@
         is_bounded = len(history.outcomes) < retries.MAX_TOTAL_ATTEMPTS
         if not is_allowed or not is_in_time or not is_bounded:
             return False
-        if (
-            ended.reason == Refusal.no_upstream
-            or admitted.request.is_disconnected()
-        ):
-            return False
-        if not retries.may_have_arrived(ended):
-            return True
-        with self.budget_lock:
-            is_affordable = self._get_budget(admitted.service.name).spend()
-        if not is_affordable:
-            self.metrics.count('ingress.retry_budget_spent')
-        return is_affordable
+        return (
+            ended.reason != Refusal.no_upstream
+            and not admitted.request.is_disconnected()
+        )
 
     def _wait_for_selection(
         self, admitted: AdmittedRequest, selection_request: SelectionRequest
@@ -337,23 +337,6 @@
                 return selection
             sleep(SELECTION_RETRY_SECONDS)
 
-    def _get_budget(self, service: str) -> RetryBudget:
-        budget = self.budgets.get(service)
-        if budget is None:
-            budget = RetryBudget(self.retry_ratio)
-            self.budgets[service] = budget
-        nodes = len(self.context.membership.view.nodes)
-        budget.set_limits(
-            self.retry_extra / nodes,
-            self.retry_window,
-            settled=nodes > 1 or self._is_settled(),
-        )
-        return budget
-
-    def _is_settled(self) -> bool:
-        """Whether a node that knows no peer counts as alone by now."""
-        return monotonic() - self.started_at >= PEER_DISCOVERY_SECONDS
-
     def _attempt_until_accepted(
         self,
         admitted: AdmittedRequest,
@@ -364,35 +347,66 @@
             ended = self._run_attempt(admitted, history)
             if isinstance(ended, CallerResponse):
                 return ended
+            if ended.reason == Refusal.retry_budget:
+                self._record_spent_budget(admitted, history)
             is_late = monotonic() >= admitted.deadline
-            if is_late or ended.reason not in REROUTED_REFUSALS:
+            if is_late or not self._is_rerouted(history, ended):
                 return ended
             self.metrics.count(f'ingress.sent_on.{ended.reason.value}')
 
+    def _is_rerouted(
+        self, history: AttemptHistory, ended: AttemptFailure
+    ) -> bool:
+        """Whether to try another owner at once after one has refused."""
+        if ended.reason == Refusal.retry_budget:
+            return history.budget_refusals < MAX_BUDGET_REFUSALS
+        return ended.reason in REROUTED_REFUSALS
+
+    def _record_spent_budget(
+        self, admitted: AdmittedRequest, history: AttemptHistory
+    ) -> None:
+        history.budget_refusals += 1
+        self.budget_spent_at[admitted.service.name] = monotonic()
+        self.metrics.count('ingress.retry_budget_spent')
+        logger.info(
+            'retry refused',
+            request=admitted.request.id,
+            service=admitted.service.name,
+            refusals=history.budget_refusals,
+        )
+
+    def _may_send_trial(self, service: str) -> bool:
+        """Whether a retry is likely to be affordable if a trial fails."""
+        spent_at = self.budget_spent_at.get(service, -math.inf)
+        return monotonic() - spent_at >= TRIAL_PAUSE_SECONDS
+
     def _run_attempt(
         self,
         admitted: AdmittedRequest,
         history: AttemptHistory,
     ) -> CallerResponse | AttemptFailure:
         selection_request = history.selection_request
-        with self.budget_lock:
-            selection_request.may_send_trial = (
-                self._get_budget(selection_request.service.name).tokens >= 1
-            )
+        selection_request.may_send_trial = self._may_send_trial(
+            selection_request.service.name
+        )
         selection = self._wait_for_selection(admitted, selection_request)
         if selection is None:
             return AttemptFailure(Outcome.not_run, Refusal.no_upstream)
         name = selection.candidate.upstream
         try:
             attempt = Attempt(
-                self.context, admitted, selection, history.crashes
+                self.context,
+                admitted,
+                selection,
+                history.crashes,
+                is_retry=history.arrivals > 0,
             )
             ended = attempt.run()
         finally:
             self.balancer.finish(selection)
         if (
             isinstance(ended, AttemptFailure)
-            and ended.reason in REROUTED_REFUSALS
+            and ended.reason in RETURNED_REFUSALS
         ):
             selection_request.refused_by.append(name)
         else:
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -38,6 +38,8 @@
     OwnerRequest,
     Upstream,
 )
+from kumquathold_node.retry_limits import RetryLimits
+from kumquathold_node.settings import Settings
 from kumquathold_node.transport import Transport
 from kumquathold_node.upstream_responses import UpstreamResponse
 from kumquathold_node.upstream_roster import UpstreamRoster
@@ -59,8 +61,14 @@
 class Owner:
     """Owns the upstreams, their queues and the registry of requests."""
 
-    def __init__(self, kernel: Kernel, dialect: UpstreamDialect) -> None:
+    def __init__(
+        self,
+        kernel: Kernel,
+        dialect: UpstreamDialect,
+        settings: Settings,
+    ) -> None:
         """Look up the services that it uses, and register itself."""
+        self.retry_limits = RetryLimits(kernel, settings)
         self.call_failures: CallFailures = kernel.find('call-failures')
         self.transport: Transport = kernel.find('transport')
         self.membership: Membership = kernel.find('membership')
@@ -431,6 +439,9 @@
                 wait=admission.estimate_wait(load),
             )
             return
+        if not self.retry_limits.admit(upstream, message):
+            self._fail(request, Outcome.not_run, Refusal.retry_budget)
+            return
         is_queued = upstream.queue.push(request)
         if not is_queued:
             self._fail(request, Outcome.not_run, Refusal.overloaded)
--- a/packages/node/src/kumquathold_node/owner_requests.py
+++ b/packages/node/src/kumquathold_node/owner_requests.py
@@ -12,6 +12,7 @@
 from kumquathold_core.failure_risk import FailureRiskEstimator
 from kumquathold_core.forwarding import ForwardRequest
 from kumquathold_core.identity import RequestId, UpstreamRecord
+from kumquathold_core.retries import RetryBudget
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.upstream_calls import UpstreamCalls
 from kumquathold_node.upstream_responses import ResponseMemory
@@ -101,6 +102,7 @@
         'in_use',
         'queue',
         'record',
+        'retry_budget',
         'service_seconds',
     )
 
@@ -125,6 +127,7 @@
                 late_limit=record.slots * LATE_QUEUE_PER_SLOT,
             )
         )
+        self.retry_budget: RetryBudget | None = None
         self.in_use = 0
         self.ended_at = math.inf
         self.service_seconds = 0.0
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -24,7 +24,9 @@
         context.attempt_numbers = iter(range(1, 9))
         admitted = mock.MagicMock()
         admitted.request.body = b''
-        self.attempt = Attempt(context, admitted, mock.MagicMock(), 0)
+        self.attempt = Attempt(
+            context, admitted, mock.MagicMock(), 0, is_retry=False
+        )
         self.mailbox: Mailbox = queue.SimpleQueue()
 
     def cancel(self) -> CallerResponse | AttemptFailure:
