Count a broken call at once, while its upstream is still probed

Cause: the probe for an ended process watches an accepted connection for 0.2 s. Ruled out: a shorter watch, which a busy machine's closing port outlasts. Change: the owner hears of the broken connection before the probe, frees the slot and counts the failure; only the reply, which tells whether to retry, waits. Result: the test of a port that closes late checks the order.

--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -28,6 +28,7 @@
 from kumquathold_node.membership import Membership
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner_calls import (
+    CallBrokenEvent,
     CallFailedEvent,
     CallSucceededEvent,
     OwnerCalls,
@@ -105,6 +106,7 @@
                 claims_service.ClaimRefusedEvent: self.on_claim_refused,
                 claims_service.OutcomeStoredEvent: self.on_outcome_stored,
                 CallSucceededEvent: self.on_call_succeeded,
+                CallBrokenEvent: self.on_call_broken,
                 CallFailedEvent: self.on_call_failed,
                 AnnouncedEvent: self.on_announced,
                 DeregisteredEvent: self.on_deregistered,
@@ -321,15 +323,34 @@
             return
         self._finish(request, succeeded.response, replayed=False)
 
+    def on_call_broken(self, broken: CallBrokenEvent) -> None:
+        """Count the failure and free the slot, without waiting for the probe.
+
+        Requests that come meanwhile then avoid the upstream.
+        """
+        request = broken.request
+        request.is_slot_free = True
+        upstream = self.upstreams.get(request.message.upstream)
+        if upstream is not None:
+            owner_outcomes.record_outcome(
+                upstream,
+                request,
+                self.metrics,
+                seconds=0,
+                failed=True,
+            )
+        self._free_slot(request)
+
     def on_call_failed(self, failed: CallFailedEvent) -> None:
         """Free the slot and report the failure to the ingress."""
         request = failed.request
         failure = failed.failure
         upstream = self.upstreams.get(request.message.upstream)
-        if upstream is not None and owner_outcomes.is_gray_failure(
-            upstream,
-            request,
-            failure,
+        is_counted = request.is_slot_free
+        if (
+            upstream is not None
+            and not is_counted
+            and owner_outcomes.is_gray_failure(upstream, request, failure)
         ):
             owner_outcomes.record_outcome(
                 upstream,
@@ -344,7 +365,8 @@
             self.crash_reports.report_crash(request)
         if failure.crashed or failure.reason == Refusal.upstream_unreachable:
             self.roster.record_down(request.message.upstream)
-        self._free_slot(request)
+        if not request.is_slot_free:
+            self._free_slot(request)
         self.metrics.count(f'owner.failed.{failure.reason.value}')
         if request.message.claim:
             self.claims.store_outcome(request, failure)
--- a/packages/node/src/kumquathold_node/owner_calls.py
+++ b/packages/node/src/kumquathold_node/owner_calls.py
@@ -24,6 +24,16 @@
     """Its response, which may be an error."""
 
 
+class CallBrokenEvent(msgspec.Struct, frozen=True):
+    """An upstream closed the connection of a call, and is probed now.
+
+    A `CallFailedEvent` follows.
+    """
+
+    request: OwnerRequest
+    """The request."""
+
+
 class CallFailedEvent(msgspec.Struct, frozen=True):
     """A call to an upstream got no response to pass on."""
 
@@ -34,7 +44,7 @@
     """Why, and whether the request ran."""
 
 
-CallEvent = CallSucceededEvent | CallFailedEvent
+CallEvent = CallSucceededEvent | CallBrokenEvent | CallFailedEvent
 
 
 class OwnerCalls:
@@ -54,16 +64,18 @@
         self.workers.submit(self._run, calls, request)
 
     def _run(self, calls: UpstreamCalls, request: OwnerRequest) -> None:
-        self.post(_call(calls, request))
-
-
-def _call(calls: UpstreamCalls, request: OwnerRequest) -> CallEvent:
-    try:
-        response = calls.run(request.message, request.body)
-    except CallFailed as failure:
-        return CallFailedEvent(request, failure)
-    except Exception:
-        logger.exception('call failed', request=str(request.request_id))
-        failed = CallFailed(Outcome.unknown, Refusal.upstream_failed)
-        return CallFailedEvent(request, failed)
-    return CallSucceededEvent(request, response)
+        self.post(self._call(calls, request))
+
+    def _call(self, calls: UpstreamCalls, request: OwnerRequest) -> CallEvent:
+        def report_broken() -> None:
+            self.post(CallBrokenEvent(request))
+
+        try:
+            response = calls.run(request.message, request.body, report_broken)
+        except CallFailed as failure:
+            return CallFailedEvent(request, failure)
+        except Exception:
+            logger.exception('call failed', request=str(request.request_id))
+            failed = CallFailed(Outcome.unknown, Refusal.upstream_failed)
+            return CallFailedEvent(request, failed)
+        return CallSucceededEvent(request, response)
--- a/packages/node/src/kumquathold_node/owner_requests.py
+++ b/packages/node/src/kumquathold_node/owner_requests.py
@@ -48,6 +48,9 @@
     is_cancelled: bool = False
     """Whether its upstream call was cancelled as the caller is gone."""
 
+    is_slot_free: bool = False
+    """Whether its call broke, so that its slot is free although it is open."""
+
     is_trial: bool = False
     """Whether it is the trial request of a suspect upstream."""
 
--- a/packages/node/src/kumquathold_node/upstream_calls.py
+++ b/packages/node/src/kumquathold_node/upstream_calls.py
@@ -17,6 +17,7 @@
 import socket
 import threading
 from collections import deque
+from collections.abc import Callable
 from contextlib import closing
 from time import monotonic
 
@@ -65,20 +66,33 @@
         reason: Refusal,
         *,
         crashed: bool = False,
-        is_stale: bool = False,
     ) -> None:
         """Create the error.
 
         `outcome` says whether the request ran, as far as is known, and
-        `crashed` whether the upstream's process has ended. `is_stale` says
-        that the connection failed within `STALE_CONNECTION_SECONDS` of the
-        start of the call, which means that it had been closed before.
+        `crashed` whether the upstream's process has ended.
         """
         super().__init__(f'{reason.value}: {outcome.value}')
         self.outcome = outcome
         self.reason = reason
         self.crashed = crashed
+
+
+class _ConnectionBroken(Exception):
+    """The upstream closed a connection before its response was complete."""
+
+    def __init__(
+        self, *, is_stale: bool = False, is_ended: bool = False
+    ) -> None:
+        """Create the error.
+
+        `is_stale` says that this came within `STALE_CONNECTION_SECONDS` of the
+        start of the call, so that the connection had been closed before, and
+        `is_ended` that the upstream refuses connections.
+        """
+        super().__init__('connection closed by the upstream')
         self.is_stale = is_stale
+        self.is_ended = is_ended
 
 
 class IdleConnection(msgspec.Struct, frozen=True):
@@ -113,23 +127,43 @@
         self.running: dict[object, UpstreamConnection] = {}
         self.lock = threading.Lock()
 
-    def run(self, message: ForwardRequest, body: bytes) -> UpstreamResponse:
+    def run(
+        self,
+        message: ForwardRequest,
+        body: bytes,
+        on_broken: Callable[[], object] = bool,
+    ) -> UpstreamResponse:
         """Send a request to the upstream and return its response.
 
         An idempotent request whose reused connection turns out to be stale is
-        repeated once on a new connection. Raises `CallFailed`.
+        repeated once on a new connection. Raises `CallFailed`. Before the
+        upstream is probed, as it closed the connection early, `on_broken` is
+        called.
         """
+        try:
+            return self._run_with_pool(message, body)
+        except _ConnectionBroken as broken:
+            on_broken()
+            raise CallFailed(
+                Outcome.unknown,
+                Refusal.upstream_failed,
+                crashed=broken.is_ended
+                or upstream_probes.has_ended(self.address),
+            ) from broken
+
+    def _run_with_pool(
+        self, message: ForwardRequest, body: bytes
+    ) -> UpstreamResponse:
         may_reuse = message.idempotent or self.dialect.reuses_for_non_idempotent
         connection = self._take_idle_connection() if may_reuse else None
         if connection is None:
             return self._run_on_connection(self._connect(), message, body)
         try:
             return self._run_on_connection(connection, message, body)
-        except CallFailed as failure:
-            is_final = failure.crashed or failure.outcome != Outcome.unknown
-            if is_final or not message.idempotent or not failure.is_stale:
+        except _ConnectionBroken as broken:
+            if not message.idempotent or not broken.is_stale:
                 raise
-            return self._retry(message, body, failure)
+            return self._retry(message, body, broken)
 
     def cancel(self, request_id: object) -> bool:
         """Shut down the connection of a running request.
@@ -160,23 +194,21 @@
         self,
         message: ForwardRequest,
         body: bytes,
-        first: CallFailed,
+        first: _ConnectionBroken,
     ) -> UpstreamResponse:
         """Repeat a request on a new connection after a reused one failed.
 
-        If this attempt fails too, the error keeps the outcome of the first,
-        which may have run. If the upstream then refuses connections, its
-        process ended while the first attempt was on its way or running.
+        If the upstream then refuses connections, its process ended while the
+        first attempt, which may have run, was on its way or running.
         """
         try:
-            return self._run_on_connection(self._connect(), message, body)
+            connection = self._connect()
+        except CallFailed as refused:
+            raise _ConnectionBroken(is_ended=True) from refused
+        try:
+            return self._run_on_connection(connection, message, body)
         except CallFailed as second:
-            is_gone = second.reason == Refusal.upstream_unreachable
-            raise CallFailed(
-                first.outcome,
-                second.reason,
-                crashed=second.crashed or is_gone,
-            ) from first
+            raise CallFailed(Outcome.unknown, second.reason) from first
 
     def _connect(self) -> UpstreamConnection:
         connection = UpstreamConnection(self.address, CONNECT_TIMEOUT_SECONDS)
@@ -368,18 +400,15 @@
         error: Exception,
         message: ForwardRequest,
         started: float,
-    ) -> CallFailed:
+    ) -> CallFailed | _ConnectionBroken:
         failed_after = monotonic() - started
         with self.lock:
             is_cancelled = message.request not in self.running
         if isinstance(error, TimeoutError) or monotonic() >= message.deadline:
             return CallFailed(Outcome.unknown, Refusal.deadline_passed)
-        return CallFailed(
-            Outcome.unknown,
-            Refusal.upstream_failed,
-            crashed=_is_disconnect(error)
-            and not is_cancelled
-            and upstream_probes.has_ended(self.address),
+        if is_cancelled or not _is_disconnect(error):
+            return CallFailed(Outcome.unknown, Refusal.upstream_failed)
+        return _ConnectionBroken(
             is_stale=isinstance(error, ConnectionError)
             and failed_after < STALE_CONNECTION_SECONDS,
         )
--- a/tests/test_upstream_trouble.py
+++ b/tests/test_upstream_trouble.py
@@ -229,10 +229,21 @@
 
         thread = threading.Thread(target=crash)
         thread.start()
+        broken_at: list[float] = []
         with self.assertRaises(CallFailed) as failed:
-            UpstreamCalls(f'{host}:{port}').run(make_work(), b'')
+            UpstreamCalls(f'{host}:{port}').run(
+                make_work(),
+                b'',
+                lambda: broken_at.append(time.monotonic()),
+            )
+        ended_at = time.monotonic()
         thread.join()
         self.assertTrue(failed.exception.crashed)
+        # The failure counts at once, while the port is still watched.
+        self.assertEqual(len(broken_at), 1)
+        self.assertGreater(
+            ended_at - broken_at[0], PORT_CLOSE_DELAY_SECONDS / 2
+        )
 
     def test_upstream_that_goes_on_is_not_crashed(self) -> None:
         def serve(connection: socket.socket) -> None:
