Report a cancelled request of an earlier process as unknown

Cause: an owner that has restarted answered the cancellation of a request that its earlier process had taken with not-run, as it did not know the request. The ingress then told the caller so, although an upstream may have run it. Status requests were answered with unknown already. Change: both kinds of message are checked against the incarnation they are for.

--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -193,17 +193,31 @@
             # connection to the ingress may be dead without an error.
             opened_before = monotonic() - MIN_RESET_AGE_SECONDS
             self.transport.reset(envelope.sender, opened_before)
-        if message.owner_incarnation != self.transport.incarnation:
-            failure = make_failure(
-                message.request,
-                Outcome.unknown,
-                Refusal.owner_restarted,
-            )
-            self.transport.try_send(envelope.sender, failure)
+        if self._is_for_earlier_process(envelope.sender, message):
             return
         entry = self.registry.refuse_forever(message.request, monotonic())
         self.replies.send_known_state(envelope.sender, message.request, entry)
 
+    def _is_for_earlier_process(
+        self,
+        sender: str,
+        message: forwarding.StatusRequest | forwarding.CancelRequest,
+    ) -> bool:
+        """Whether a message concerns a request of this node's last process.
+
+        That process may have run the request, so its outcome is reported as
+        unknown.
+        """
+        if message.owner_incarnation == self.transport.incarnation:
+            return False
+        failure = make_failure(
+            message.request,
+            Outcome.unknown,
+            Refusal.owner_restarted,
+        )
+        self.transport.try_send(sender, failure)
+        return True
+
     def on_cancel_request(
         self, envelope: Envelope[forwarding.CancelRequest]
     ) -> None:
@@ -212,6 +226,8 @@
         A queued request is removed; a running one is stopped if idempotent.
         """
         message = envelope.message
+        if self._is_for_earlier_process(envelope.sender, message):
+            return
         entry = self.registry.refuse_forever(message.request, monotonic())
         incomplete = self.incomplete.pop(message.request, None)
         if incomplete is not None:
