Log what upstreams state about themselves, and what kind each arrival is

An owner now reads the limit and the leaving flag from the head of each response, keeps the latest, and logs 'upstream stated' as they change, with the request, the limit before and its age; 'upstream answered' says whether the request was a retry and its rank. No decision uses any of it yet.

--- a/packages/node/src/kumquathold_node/dialect.py
+++ b/packages/node/src/kumquathold_node/dialect.py
@@ -123,6 +123,15 @@
     unknown; so does a 408, 429 or 503 without the `not_run` header.
     """
 
+    limit: str = 'Kumquathold-Limit'
+    """Response header with the requests a second that an upstream takes."""
+
+    leaving: str = 'Kumquathold-Leaving'
+    """Response header by which an upstream states that it drains."""
+
+    leaving_value: str = 'true'
+    """Value that the header must have."""
+
     reuses_for_non_idempotent: bool = False
     """Whether non-idempotent requests may use pooled connections.
 
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -19,7 +19,11 @@
 from kumquathold_core import admission, forwarding, reassembly, wire
 from kumquathold_core.forwarding import Outcome, Refusal
 from kumquathold_core.request_registry import RequestRegistry
-from kumquathold_node import claims_service, owner_outcomes
+from kumquathold_node import (
+    claims_service,
+    owner_outcomes,
+    owner_statements,
+)
 from kumquathold_node.announcements import AnnouncedEvent, DeregisteredEvent
 from kumquathold_node.configuration import ConfigurationService
 from kumquathold_node.crash_reports import CrashReports
@@ -39,6 +43,7 @@
     OwnerRequest,
     Upstream,
 )
+from kumquathold_node.response_statements import ResponseStatement
 from kumquathold_node.retry_limits import RetryLimits
 from kumquathold_node.settings import Settings
 from kumquathold_node.transport import Transport
@@ -316,6 +321,7 @@
         """Free the slot and return the response to the ingress."""
         request = succeeded.request
         response = succeeded.response
+        self._record_statement(request, response.statement)
         is_failure = response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
         upstream = self.upstreams.get(request.message.upstream)
         is_excused = is_failure and owner_outcomes.may_stem_from_failed_call(
@@ -361,6 +367,7 @@
         """Free the slot and report the failure to the ingress."""
         request = failed.request
         failure = failed.failure
+        self._record_statement(request, failure.statement)
         upstream = self.upstreams.get(request.message.upstream)
         is_counted = request.is_slot_free
         if (
@@ -394,6 +401,19 @@
             crashed=failure.crashed,
         )
 
+    def _record_statement(
+        self,
+        request: OwnerRequest,
+        stated: ResponseStatement | None,
+    ) -> None:
+        upstream = self.upstreams.get(request.message.upstream)
+        if upstream is None or stated is None:
+            return
+        if request.lifetime == upstream.record.lifetime:
+            owner_statements.record_statement(
+                upstream, request, stated, self.metrics
+            )
+
     def on_outcome_stored(
         self, stored: claims_service.OutcomeStoredEvent
     ) -> None:
@@ -540,6 +560,7 @@
 
     def _call(self, request: OwnerRequest) -> None:
         upstream = self.upstreams[request.message.upstream]
+        request.lifetime = upstream.record.lifetime
         self.calls.start(upstream.calls, request)
 
     def _free_slot(self, request: OwnerRequest) -> None:
--- a/packages/node/src/kumquathold_node/owner_outcomes.py
+++ b/packages/node/src/kumquathold_node/owner_outcomes.py
@@ -47,6 +47,8 @@
         seconds=round(now - request.started_at, 3),
         queued=round(request.started_at - request.queued_at, 3),
         belief=round(upstream.failure_risk.belief, 3),
+        retry=request.message.is_retry,
+        rank=request.message.rank,
     )
     if not failed:
         upstream.record_service_time(seconds)
--- a/packages/node/src/kumquathold_node/owner_requests.py
+++ b/packages/node/src/kumquathold_node/owner_requests.py
@@ -13,6 +13,7 @@
 from kumquathold_core.forwarding import ForwardRequest
 from kumquathold_core.identity import RequestId, UpstreamRecord
 from kumquathold_core.retries import RetryBudget
+from kumquathold_core.upstream_statements import KnownStatement
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.upstream_calls import UpstreamCalls
 from kumquathold_node.upstream_responses import ResponseMemory
@@ -45,6 +46,9 @@
     started_at: float = 0.0
     """When it got a slot, in seconds of the monotonic clock."""
 
+    lifetime: int = 0
+    """Lifetime of the upstream's process when the call began."""
+
     is_cancelled: bool = False
     """Whether its upstream call was cancelled as the caller is gone."""
 
@@ -103,6 +107,7 @@
         'expires_at',
         'failure_risk',
         'in_use',
+        'known_statement',
         'queue',
         'record',
         'retry_budget',
@@ -132,6 +137,7 @@
         )
         self.retry_budget: RetryBudget | None = None
         self.in_use = 0
+        self.known_statement: KnownStatement | None = None
         self.ended_at = math.inf
         self.service_seconds = 0.0
         self.failure_risk = FailureRiskEstimator()
--- a/packages/node/src/kumquathold_node/upstream_calls.py
+++ b/packages/node/src/kumquathold_node/upstream_calls.py
@@ -27,6 +27,10 @@
 from kumquathold_core.forwarding import ForwardRequest, Outcome, Refusal
 from kumquathold_node import upstream_probes
 from kumquathold_node.dialect import UpstreamDialect
+from kumquathold_node.response_statements import (
+    ResponseStatement,
+    read_statement,
+)
 from kumquathold_node.upstream_responses import (
     ForeignResponse,
     ResponseMemory,
@@ -66,16 +70,19 @@
         reason: Refusal,
         *,
         crashed: bool = False,
+        statement: ResponseStatement | None = None,
     ) -> None:
         """Create the error.
 
-        `outcome` says whether the request ran, as far as is known, and
-        `crashed` whether the upstream's process has ended.
+        `outcome` says whether the request ran, as far as is known, `crashed`
+        whether the upstream's process has ended, and `statement` what the
+        response stated, if there was one.
         """
         super().__init__(f'{reason.value}: {outcome.value}')
         self.outcome = outcome
         self.reason = reason
         self.crashed = crashed
+        self.statement = statement
 
 
 class _ConnectionBroken(Exception):
@@ -288,9 +295,14 @@
         _set_timeout(connection, message.deadline)
         self._send_request(connection, message, body)
         with closing(connection.getresponse()) as response:
+            statement = read_statement(response, self.dialect)
             content = read_body(response, message.method, self.memory)
             return self._make_response(
-                response, message, content, monotonic() - started
+                response,
+                message,
+                content,
+                monotonic() - started,
+                statement,
             )
 
     def _make_response(
@@ -299,6 +311,7 @@
         message: ForwardRequest,
         content: bytes,
         seconds: float,
+        statement: ResponseStatement,
     ) -> UpstreamResponse:
         names_request = self._names_request(response, message)
         headers = strip_hop_by_hop_headers(response.getheaders())
@@ -312,6 +325,7 @@
             seconds=seconds,
             keep_alive=response.getheader('Keep-Alive', ''),
             names_request=names_request,
+            statement=statement,
         )
 
     def _names_request(
@@ -344,9 +358,17 @@
             not expected or not_run_header == expected
         )
         if response.status == http.HTTPStatus.MISDIRECTED_REQUEST:
-            raise CallFailed(Outcome.not_run, Refusal.upstream_replaced)
+            raise CallFailed(
+                Outcome.not_run,
+                Refusal.upstream_replaced,
+                statement=response.statement,
+            )
         if response.status in NOT_RUN_STATUSES and is_not_run:
-            raise CallFailed(Outcome.not_run, Refusal.upstream_shed)
+            raise CallFailed(
+                Outcome.not_run,
+                Refusal.upstream_shed,
+                statement=response.statement,
+            )
         if not self.dialect.seal:
             return
         is_success = response.status < http.HTTPStatus.MULTIPLE_CHOICES
@@ -354,7 +376,11 @@
         if response.status in NOT_RUN_STATUSES or (
             is_success and not is_sealed
         ):
-            raise CallFailed(Outcome.unknown, Refusal.upstream_failed)
+            raise CallFailed(
+                Outcome.unknown,
+                Refusal.upstream_failed,
+                statement=response.statement,
+            )
 
     def _send_request(
         self,
--- a/packages/node/src/kumquathold_node/upstream_responses.py
+++ b/packages/node/src/kumquathold_node/upstream_responses.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from kumquathold_core.forwarding import Headers
+from kumquathold_node.response_statements import ResponseStatement
 
 MAX_HEAD_BYTES = 262_144
 """Largest head, together with the interim responses that precede it."""
@@ -80,6 +81,9 @@
     names_request: bool = False
     """Whether it carries the id of the request that it answers."""
 
+    statement: ResponseStatement | None = None
+    """What it states about the upstream; `None` if it is a stored one."""
+
 
 class ResponseMemory:
     """Counts the bytes of all bodies being read, up to a limit; thread-safe."""
