Reproduce the broken limit, and a leaving upstream that gets requests

One upstream states a limit of 1 a second, and callers of three nodes press: 212 runs begin within 4 s, and 160 where its node is restarted meanwhile; 11 are allowed. One that states its leaving while its announcements say ready gets 113 requests in the two seconds after the withdrawal time, and 80 after a restart of its node.

--- a/packages/node/src/kumquathold_node/owner_statements.py
+++ b/packages/node/src/kumquathold_node/owner_statements.py
@@ -36,7 +36,11 @@
     upstream.known_statement = KnownStatement(statement, stated.received_at)
     if stated.limit_error:
         metrics.count('owner.statements_unreadable')
-    if statement == before and not stated.limit_error:
+    is_same = (statement.limit, statement.is_leaving) == (
+        before.limit,
+        before.is_leaving,
+    )
+    if is_same and not stated.limit_error:
         return
     metrics.count('owner.statements_changed')
     logger.info(
--- a/packages/standins/src/kumquathold_standins/upstream.py
+++ b/packages/standins/src/kumquathold_standins/upstream.py
@@ -23,6 +23,8 @@
 ANNOUNCE_INTERVAL_SECONDS = 0.5
 OUTCOME_HEADER = 'Kumquathold-Outcome'
 REQUEST_HEADER = 'Kumquathold-Request'
+LIMIT_HEADER = 'Kumquathold-Limit'
+LEAVING_HEADER = 'Kumquathold-Leaving'
 CRASH_PATH_MARKER = 'poison'
 """Requests whose target contains it crash the process."""
 
@@ -47,6 +49,12 @@
     state: str = 'ready'
     """State that the upstream announces to its node."""
 
+    limit: float | None = None
+    """Limit in requests a second that its responses state, if any."""
+
+    states_leaving: bool = False
+    """Whether its responses state that it is leaving."""
+
 
 class Run(msgspec.Struct, frozen=True):
     """One run of a request; a line of the ledger."""
@@ -224,6 +232,15 @@
         self.wfile.write(b'cut')
         self.close_connection = True
 
+    def _make_statements(self) -> list[tuple[str, str]]:
+        behaviour = self.upstream.behaviour
+        statements = []
+        if behaviour.limit is not None:
+            statements.append((LIMIT_HEADER, str(behaviour.limit)))
+        if behaviour.states_leaving:
+            statements.append((LEAVING_HEADER, 'true'))
+        return statements
+
     def _reply(
         self,
         status: int,
@@ -234,7 +251,7 @@
         request_id = self.headers.get(REQUEST_HEADER)
         if request_id:
             self.send_header(REQUEST_HEADER, request_id)
-        for name, text in headers:
+        for name, text in (*headers, *self._make_statements()):
             self.send_header(name, text)
         self.send_header('Content-Length', str(len(body)))
         self.end_headers()
