Keep the requests of an upstream within the limit that it states

What callers and upstreams saw: an upstream in trouble stated a limit in its answers and got up to three times as many requests, so it stayed slow. Cause: nothing read the statement.

The owner, through which every request passes, nested calls and retries too, spaces the starts with a token bucket of the stated rate. A request that may go elsewhere goes there at once, one that cannot start in time is refused at once, also when the limit is stated while it waits. A response without the statement lifts the limit; a limit of 0 still lets a request through every four seconds, as only a response can lift it.

The fields are at the end of the messages with defaults, so earlier builds read them.

--- a/packages/core/src/kumquathold_core/admission.py
+++ b/packages/core/src/kumquathold_core/admission.py
@@ -37,6 +37,9 @@
     is_trial_due: bool
     """Whether a suspect upstream may get an idempotent trial request."""
 
+    start_wait: float = 0.0
+    """Seconds until its stated limit leaves room for the new request."""
+
 
 def estimate_slot_wait(slots: int, backlog: float, seconds: float) -> float:
     """Return the seconds until an upstream with this backlog has a free slot.
@@ -48,9 +51,14 @@
 
 
 def estimate_wait(load: UpstreamLoad) -> float:
-    """Return the expected seconds until a new request gets a slot."""
+    """Return the expected seconds until a new request may start.
+
+    It needs a slot, and room within the limit that the upstream states.
+    """
     seconds = max(load.service_seconds, MIN_SERVICE_SECONDS)
-    return estimate_slot_wait(load.slots, load.running + load.waiting, seconds)
+    backlog = load.running + load.waiting
+    slot_wait = estimate_slot_wait(load.slots, backlog, seconds)
+    return max(slot_wait, load.start_wait)
 
 
 def find_refusal(
--- a/packages/core/src/kumquathold_core/candidates.py
+++ b/packages/core/src/kumquathold_core/candidates.py
@@ -23,6 +23,9 @@
     slots: int
     """Requests that the upstream runs concurrently."""
 
+    lifetime: int = 0
+    """Start of its process in Unix milliseconds, 0 if not known."""
+
 
 def rank_distance(candidate: Candidate, zone: str, region: str) -> int:
     """Return the network distance of a candidate from `zone` and `region`.
--- a/packages/core/src/kumquathold_core/forwarding.py
+++ b/packages/core/src/kumquathold_core/forwarding.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from kumquathold_core.identity import RequestId
+from kumquathold_core.upstream_statements import UpstreamStatement
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -145,6 +146,12 @@
     is_retry: bool = False
     """Whether an earlier attempt may have reached an upstream."""
 
+    statement: UpstreamStatement | None = None
+    """The upstream's latest statement that the ingress knows.
+
+    It serves an owner that has restarted and knows none yet.
+    """
+
 
 class BodyChunk(msgspec.Struct, frozen=True, array_like=True):
     """A chunk of a body, after the first."""
@@ -205,6 +212,12 @@
     body: bytes
     """First chunk of the body."""
 
+    wait: float = 0.0
+    """Expected seconds until the upstream may start a further request."""
+
+    statement: UpstreamStatement | None = None
+    """What the upstream states about itself, if the owner knows."""
+
 
 class FailureResponse(
     msgspec.Struct, frozen=True, array_like=True, tag='failed'
@@ -230,11 +243,14 @@
     """Requests in flight or queued at the upstream."""
 
     wait: float = 0.0
-    """Expected wait for a slot at the upstream, in seconds."""
+    """Expected seconds until the upstream may start a further request."""
 
     risk: float = 0.0
     """Owner's estimate of the chance that the upstream's next request fails."""
 
+    statement: UpstreamStatement | None = None
+    """What the upstream states about itself, if the owner knows."""
+
 
 class StatusRequest(
     msgspec.Struct, frozen=True, array_like=True, tag='inquiry'
--- a/packages/core/src/kumquathold_core/placement.py
+++ b/packages/core/src/kumquathold_core/placement.py
@@ -4,8 +4,9 @@
 
 - delay: low while the response still meets the route's latency objective, up
   to most of the value beyond it. The wait for a slot follows from the backlog
-  in the owner's latest report, less the requests served since then. The
-  service time is the route's, times the slowness of the upstream.
+  in the owner's latest report, less the requests served since then, and from
+  the limit that the upstream states. The service time is the route's, times the
+  slowness of the upstream.
 - failure: the whole value, or less if the request can be repeated.
 - network: each kilobyte that leaves the zone or the region, because such
   traffic is billed.
@@ -28,6 +29,7 @@
 from kumquathold_core import admission, failure_risk, smoothing
 from kumquathold_core.candidates import Candidate, rank_distance
 from kumquathold_core.rules import ZoneScope
+from kumquathold_core.start_limiter import MIN_STARTS_PER_SECOND
 
 FAILURE_COST = 1.2
 REPEATABLE_FAILURE_COST = 0.4
@@ -84,6 +86,25 @@
     measured_at: float = 0.0
     """Time of the latest sample of `slowness`."""
 
+    limit: float | None = None
+    """Requests a second that it takes from all nodes, if it states so."""
+
+    may_start_at: float = 0.0
+    """Time from which that limit leaves room for a further request."""
+
+    def record_limit(
+        self, limit: float | None, wait: float, now: float
+    ) -> None:
+        """Store the stated limit, and the wait that its owner expects."""
+        self.limit = limit
+        self.may_start_at = 0.0 if limit is None else now + wait
+
+    def record_send(self, now: float) -> None:
+        """Count a request of this ingress against the stated limit."""
+        if self.limit is not None:
+            interval = 1 / max(self.limit, MIN_STARTS_PER_SECOND)
+            self.may_start_at = max(self.may_start_at, now) + interval
+
     def record_report(self, backlog: int, risk: float, now: float) -> None:
         """Store the load that the owner reported."""
         self.backlog = backlog
@@ -184,6 +205,8 @@
     """
     if not request.may_send_trial or report.in_flight:
         return False
+    if report.may_start_at > now:
+        return False
     age = now - report.reported_at
     is_idle = candidate.zone == request.zone and age >= IDLE_SECONDS
     is_suspect = report.risk_at(now) > failure_risk.SUSPECT_RISK
@@ -212,7 +235,10 @@
     if now - report.reported_at >= failure_risk.TRIAL_INTERVAL_SECONDS:
         backlog = max(backlog, min_backlog)
     slots = candidate.slots
-    wait = admission.estimate_slot_wait(slots, backlog, report.service_seconds)
+    wait = max(
+        admission.estimate_slot_wait(slots, backlog, report.service_seconds),
+        report.may_start_at - now,
+    )
     usual = request.usual_seconds
     seconds = usual * report.slowness_at(now)
     failure = FAILURE_COST
--- a/packages/node/src/kumquathold_node/attempts.py
+++ b/packages/node/src/kumquathold_node/attempts.py
@@ -246,6 +246,7 @@
             body_digest=admitted.body_digest,
             body=first,
             is_retry=self.is_retry,
+            statement=self.selection.statement,
         )
         self.context.transport.send_with_body(
             self.owner,
@@ -390,7 +391,7 @@
             self.admitted.route.name,
             self.selection,
             seconds=response.service_seconds,
-            report=OwnerReport(response.backlog, response.risk),
+            report=_report_of(response),
             failed=response.status >= MIN_SERVER_ERROR_STATUS,
             is_already_counted=self.is_counted_bad or response.replayed,
         )
@@ -412,8 +413,7 @@
 
     def _on_failure(self, event: forwarding.FailureResponse) -> AttemptFailure:
         balancer = self.context.balancer
-        report = OwnerReport(event.backlog, event.risk)
-        balancer.record_refusal(self.selection, event.reason, report)
+        balancer.record_refusal(self.selection, event.reason, _report_of(event))
         is_gray = event.reason in {
             Refusal.upstream_failed,
             Refusal.upstream_unreachable,
@@ -449,3 +449,14 @@
     ) -> None:
         if not self.context.transport.try_send(self.owner, message):
             logger.debug('message to owner not sent', peer=self.owner)
+
+
+def _report_of(
+    message: forwarding.ForwardResponse | forwarding.FailureResponse,
+) -> OwnerReport:
+    return OwnerReport(
+        backlog=message.backlog,
+        risk=message.risk,
+        wait=message.wait,
+        statement=message.statement,
+    )
--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -23,6 +23,8 @@
 from kumquathold_core.placement import LoadEstimate, PlacementRequest
 from kumquathold_core.rules import Service
 from kumquathold_core.smoothing import RouteAverages
+from kumquathold_core.statement_table import StatementTable
+from kumquathold_core.upstream_statements import UpstreamStatement
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import FleetView, Membership
 from kumquathold_node.metrics import Metrics
@@ -67,6 +69,9 @@
     slow_limit: float
     """Seconds above which a response counts as a bad outcome."""
 
+    statement: UpstreamStatement | None = None
+    """The latest statement of the upstream that this node knows."""
+
 
 class OwnerReport(msgspec.Struct, frozen=True):
     """Load of an upstream, as its owner reported it with a response."""
@@ -77,6 +82,12 @@
     risk: float
     """Owner's estimate of the chance that the next request fails."""
 
+    wait: float = 0.0
+    """Seconds until the owner expects to start a further request."""
+
+    statement: UpstreamStatement | None = None
+    """What the upstream states about itself, if the owner knows."""
+
 
 class SelectionRequest(msgspec.Struct):
     """The properties of a request by which its upstream is selected."""
@@ -128,6 +139,7 @@
         self.lock = threading.Lock()
         self.rng = random.Random(settings.peer)
         self.loads: dict[str, LoadEstimate] = {}
+        self.statements = StatementTable()
         self.sizes = RouteAverages(DEFAULT_KILOBYTES)
         self.durations = RouteAverages(placement.DEFAULT_SERVICE_SECONDS)
         self.explore_share = settings.explore_share
@@ -176,6 +188,7 @@
                     detector, chosen, usable, selection_request
                 )
             self._get_load(chosen.upstream).in_flight += 1
+            self._get_load(chosen.upstream).record_send(now)
             distance = rank_distance(chosen, self.zone, self.region)
             self.metrics.count(f'ingress.sent.{DISTANCE_NAMES[distance]}')
             load = self._get_load(chosen.upstream)
@@ -201,6 +214,9 @@
                 slow_limit=detector.slow_limit(
                     selection_request.route, chosen.upstream
                 ),
+                statement=self.statements.find(
+                    chosen.upstream, chosen.lifetime
+                ),
             )
 
     def finish(self, selection: Selection) -> None:
@@ -236,7 +252,7 @@
                     seconds, self.durations.get_average(route), now
                 )
                 self.durations.add_sample(route, seconds)
-            load.record_report(report.backlog, report.risk, now)
+            self._record_report(upstream, report, now)
             detector = self._get_detector(service.name)
             if is_already_counted:
                 detector.record_latency(route, upstream, seconds)
@@ -307,8 +323,7 @@
         now = monotonic()
         candidate = selection.candidate
         with self.lock:
-            load = self._get_load(candidate.upstream)
-            load.record_report(report.backlog, report.risk, now)
+            self._record_report(candidate.upstream, report, now)
             if reason in DEPARTURE_REFUSALS:
                 self.excluded_upstreams[candidate.upstream] = (
                     now + EXCLUSION_SECONDS
@@ -316,6 +331,16 @@
             elif reason == Refusal.node_leaving:
                 self.excluded_owners[candidate.owner] = now + EXCLUSION_SECONDS
 
+    def _record_report(
+        self, upstream: str, report: OwnerReport, now: float
+    ) -> None:
+        load = self._get_load(upstream)
+        load.record_report(report.backlog, report.risk, now)
+        statement = report.statement
+        if statement is not None:
+            self.statements.record(upstream, statement, now)
+            load.record_limit(statement.limit, report.wait, now)
+
     def record_silent_path(self, owner: str) -> None:
         """Temporarily exclude an owner that does not respond to this node."""
         self.metrics.count('ingress.silent_paths')
@@ -366,6 +391,7 @@
                         one.upstream, now
                     ).score,
                     'avoided': self._is_excluded(one, now),
+                    'limit': self._get_load(one.upstream).limit,
                 }
                 for one in view.candidates
             ]
@@ -526,6 +552,7 @@
                 zone=node.zone,
                 region=node.region,
                 slots=upstream.slots,
+                lifetime=upstream.lifetime,
             )
             found.setdefault(upstream.service, []).append(candidate)
     return {
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -52,6 +52,7 @@
 
 if TYPE_CHECKING:
     from kumquathold_core.identity import RequestId
+    from kumquathold_core.upstream_statements import UpstreamStatement
     from kumquathold_core.wire import Envelope
 
 TICK_SECONDS = 0.25
@@ -409,10 +410,18 @@
         upstream = self.upstreams.get(request.message.upstream)
         if upstream is None or stated is None:
             return
-        if request.lifetime == upstream.record.lifetime:
-            owner_statements.record_statement(
-                upstream, request, stated, self.metrics
-            )
+        if request.lifetime != upstream.record.lifetime:
+            return
+        is_limited_anew = owner_statements.record_statement(
+            upstream, request, stated, self.metrics
+        )
+        if is_limited_anew:
+            self._refuse_unstartable(upstream)
+
+    def _refuse_unstartable(self, upstream: Upstream) -> None:
+        for waiting in upstream.find_unstartable(monotonic()):
+            upstream.queue.remove(waiting)
+            self._fail(waiting, Outcome.not_run, Refusal.upstream_busy)
 
     def on_outcome_stored(
         self, stored: claims_service.OutcomeStoredEvent
@@ -479,6 +488,7 @@
         upstream = self.upstreams[request.message.upstream]
         message = request.message
         now = monotonic()
+        owner_statements.adopt_statement(upstream, message, now)
         load = upstream.measure_load(
             now, upstream.queue.count_ahead_of(message.rank)
         )
@@ -490,12 +500,7 @@
             max_risk=message.max_risk,
         )
         if refusal is not None:
-            self._fail(
-                request,
-                Outcome.not_run,
-                refusal,
-                wait=admission.estimate_wait(load),
-            )
+            self._fail(request, Outcome.not_run, refusal)
             return
         if not self.retry_limits.admit(upstream, message):
             self._fail(request, Outcome.not_run, Refusal.retry_budget)
@@ -532,7 +537,7 @@
         return key is None or key.workspace != message.workspace
 
     def _start_queued(self, upstream: Upstream) -> None:
-        while upstream.in_use < upstream.record.slots:
+        while upstream.may_start(monotonic()):
             end_at = monotonic() + upstream.service_seconds
             request = upstream.queue.pop(end_at)
             for shed in upstream.queue.take_dropped():
@@ -552,6 +557,7 @@
             return
         request.started_at = now
         upstream.in_use += 1
+        upstream.limiter.record_start(now)
         self.registry.start(request.request_id)
         if request.message.claim:
             self.claims.request_claim(request)
@@ -586,6 +592,8 @@
             queued_seconds=request.started_at - request.queued_at,
             backlog=_backlog_of(upstream),
             risk=_risk_of(upstream),
+            wait=_wait_of(upstream),
+            statement=_statement_of(upstream),
             replayed=replayed,
             body_bytes=len(result.body),
             body_digest=wire.digest_body(result.body),
@@ -602,7 +610,6 @@
         reason: Refusal,
         *,
         crashed: bool = False,
-        wait: float = 0,
     ) -> None:
         self.metrics.count(f'owner.refused.{reason.value}')
         self.requests.pop(request.request_id, None)
@@ -613,7 +620,8 @@
             make_failure(request.request_id, outcome, reason, crashed=crashed),
             backlog=_backlog_of(upstream),
             risk=_risk_of(upstream),
-            wait=wait,
+            wait=_wait_of(upstream),
+            statement=_statement_of(upstream),
         )
         self.registry.store_failure(failure)
         self.transport.try_send(request.reply_to, failure)
@@ -627,3 +635,16 @@
 
 def _risk_of(upstream: Upstream | None) -> float:
     return upstream.failure_risk.estimate_risk(monotonic()) if upstream else 0.0
+
+
+def _wait_of(upstream: Upstream | None) -> float:
+    if upstream is None:
+        return 0.0
+    load = upstream.measure_load(monotonic(), upstream.queue.size)
+    return admission.estimate_wait(load)
+
+
+def _statement_of(upstream: Upstream | None) -> UpstreamStatement | None:
+    if upstream is None or upstream.known_statement is None:
+        return None
+    return upstream.known_statement.statement
--- a/packages/node/src/kumquathold_node/owner_requests.py
+++ b/packages/node/src/kumquathold_node/owner_requests.py
@@ -13,6 +13,7 @@
 from kumquathold_core.forwarding import ForwardRequest
 from kumquathold_core.identity import RequestId, UpstreamRecord
 from kumquathold_core.retries import RetryBudget
+from kumquathold_core.start_limiter import StartLimiter
 from kumquathold_core.upstream_statements import KnownStatement
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.upstream_calls import UpstreamCalls
@@ -108,6 +109,7 @@
         'failure_risk',
         'in_use',
         'known_statement',
+        'limiter',
         'queue',
         'record',
         'retry_budget',
@@ -138,6 +140,7 @@
         self.retry_budget: RetryBudget | None = None
         self.in_use = 0
         self.known_statement: KnownStatement | None = None
+        self.limiter = StartLimiter()
         self.ended_at = math.inf
         self.service_seconds = 0.0
         self.failure_risk = FailureRiskEstimator()
@@ -177,6 +180,24 @@
         queued = self.queue.items()
         return [request for request in queued if self.is_overdue(request, now)]
 
+    def may_start(self, now: float) -> bool:
+        """Whether a slot is free and the stated limit leaves room."""
+        has_slot = self.in_use < self.record.slots
+        return has_slot and self.limiter.may_start(now)
+
+    def find_unstartable(self, now: float) -> list[OwnerRequest]:
+        """Return the queued requests that the stated limit makes too late.
+
+        They could not finish before their deadlines any more.
+        """
+        needed = self.service_seconds * MIN_SERVICE_SHARE
+        return [
+            request
+            for ahead, request in enumerate(self.queue.items())
+            if request.message.deadline - now
+            < self.limiter.estimate_wait(ahead, now) + needed
+        ]
+
     def measure_load(self, now: float, ahead: int) -> UpstreamLoad:
         """Return the load that admission control is to judge by.
 
@@ -189,4 +210,5 @@
             service_seconds=self.service_seconds,
             risk=self.failure_risk.estimate_risk(now),
             is_trial_due=self.failure_risk.is_trial_due(now),
+            start_wait=self.limiter.estimate_wait(ahead, now),
         )
--- a/packages/node/src/kumquathold_node/owner_statements.py
+++ b/packages/node/src/kumquathold_node/owner_statements.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import math
+
+import msgspec
 from loguru import logger
 
+from kumquathold_core.forwarding import ForwardRequest
 from kumquathold_core.upstream_statements import (
     KnownStatement,
     UpstreamStatement,
@@ -18,38 +22,71 @@
     request: OwnerRequest,
     stated: ResponseStatement,
     metrics: Metrics,
-) -> None:
+) -> bool:
     """Record what a response of an upstream's present process states.
 
     Responses are processed in another order than they came, so an older one
-    than the latest is ignored.
+    than the latest is ignored. Returns whether the limit has become lower.
     """
     known = upstream.known_statement
     if known is not None and stated.received_at < known.received_at:
-        return
+        return False
     before = known.statement if known else UpstreamStatement()
     statement = UpstreamStatement(
         lifetime=upstream.record.lifetime,
         limit=before.limit if stated.limit_error else stated.limit,
         is_leaving=before.is_leaving or stated.is_leaving,
     )
-    upstream.known_statement = KnownStatement(statement, stated.received_at)
+    _apply_statement(
+        upstream,
+        KnownStatement(statement, stated.received_at),
+        stated.received_at,
+    )
+    is_limit_changed = statement.limit != before.limit
+    is_leaving_changed = statement.is_leaving != before.is_leaving
     if stated.limit_error:
         metrics.count('owner.statements_unreadable')
-    is_same = (statement.limit, statement.is_leaving) == (
-        before.limit,
-        before.is_leaving,
-    )
-    if is_same and not stated.limit_error:
+    if is_limit_changed or is_leaving_changed or stated.limit_error:
+        metrics.count('owner.statements_changed')
+        age = stated.received_at - known.received_at if known else math.inf
+        logger.info(
+            'upstream stated',
+            upstream=upstream.record.name,
+            request=request.message.caller_id,
+            limit=statement.limit,
+            limit_before=before.limit,
+            leaving=statement.is_leaving,
+            age=round(age, 3) if math.isfinite(age) else None,
+            error=stated.limit_error,
+        )
+    return is_limit_changed and statement.limit is not None
+
+
+def adopt_statement(
+    upstream: Upstream, message: ForwardRequest, now: float
+) -> None:
+    """Take over what an ingress knows, if this process knows nothing yet.
+
+    Any response that this process gets takes precedence. A leaving is not taken
+    over: the ingress that knows of it does not send.
+    """
+    stated = message.statement
+    if stated is None or upstream.known_statement is not None:
+        return
+    if stated.lifetime != upstream.record.lifetime:
         return
-    metrics.count('owner.statements_changed')
+    adopted = msgspec.structs.replace(stated, is_leaving=False)
+    _apply_statement(upstream, KnownStatement(adopted, -math.inf), now)
     logger.info(
-        'upstream stated',
+        'statement adopted',
         upstream=upstream.record.name,
-        request=request.message.caller_id,
-        limit=statement.limit,
-        limit_before=before.limit,
-        leaving=statement.is_leaving,
-        age=round(stated.received_at - known.received_at, 3) if known else None,
-        error=stated.limit_error,
+        request=message.caller_id,
+        limit=adopted.limit,
     )
+
+
+def _apply_statement(
+    upstream: Upstream, known: KnownStatement, now: float
+) -> None:
+    upstream.known_statement = known
+    upstream.limiter.set_limit(known.statement.limit, now)
