Send nothing to an upstream that stated its leaving in a response

What upstreams saw: one that leaves and says so in its answers, while its announcements still say ready (or come late), went on getting requests; after a restart of its node again. Cause: only announcements and deregistrations could mark an upstream as leaving.

Owner: a statement marks the upstream as leaving for the rest of its process, outdates announcements that say ready, spreads over the fleet and returns what waits. Ingress: each keeps by itself, by lifetime, what it was told, so that an owner that restarted and believes an announcement cannot bring the upstream back. Announcements of the product's own interface may tell the lifetime now; without it a leaving counts for ten seconds, as a process that follows looks the same.

--- a/packages/core/src/kumquathold_core/statement_table.py
+++ b/packages/core/src/kumquathold_core/statement_table.py
@@ -8,23 +8,13 @@
 
 from __future__ import annotations
 
-import msgspec
-
-from kumquathold_core.upstream_statements import UpstreamStatement
+from kumquathold_core.upstream_statements import (
+    KnownStatement,
+    UpstreamStatement,
+    merge_statements,
+)
 
 MAX_TRACKED_UPSTREAMS = 32_768
-UNTOLD_LIFETIME_SECONDS = 10.0
-"""Time for which a leaving counts if the process does not tell its lifetime.
-
-A process that follows at the same address looks the same then.
-"""
-
-
-class _Entry(msgspec.Struct, frozen=True):
-    """The latest statement of one upstream."""
-
-    statement: UpstreamStatement
-    noted_at: float
 
 
 class StatementTable:
@@ -34,7 +24,7 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self.entries: dict[str, _Entry] = {}
+        self.entries: dict[str, KnownStatement] = {}
 
     def record(
         self, upstream: str, statement: UpstreamStatement, now: float
@@ -45,8 +35,8 @@
         """
         known = self.entries.pop(upstream, None)
         if known is not None:
-            statement = _merge(known.statement, statement)
-        self.entries[upstream] = _Entry(statement, now)
+            statement = merge_statements(known.statement, statement)
+        self.entries[upstream] = KnownStatement(statement, now)
         if len(self.entries) > MAX_TRACKED_UPSTREAMS:
             self.entries.pop(next(iter(self.entries)))
 
@@ -62,17 +52,4 @@
         known = self.entries.get(upstream)
         if known is None or known.statement.lifetime < lifetime:
             return False
-        is_recent = now - known.noted_at < UNTOLD_LIFETIME_SECONDS
-        is_current = known.statement.lifetime > 0 or is_recent
-        return known.statement.is_leaving and is_current
-
-
-def _merge(
-    before: UpstreamStatement, statement: UpstreamStatement
-) -> UpstreamStatement:
-    if statement.lifetime < before.lifetime:
-        return before
-    is_same = statement.lifetime == before.lifetime and before.lifetime > 0
-    if is_same and before.is_leaving:
-        return msgspec.structs.replace(statement, is_leaving=True)
-    return statement
+        return known.is_leaving_at(now)
--- a/packages/core/src/kumquathold_core/upstream_statements.py
+++ b/packages/core/src/kumquathold_core/upstream_statements.py
@@ -6,6 +6,12 @@
 
 import msgspec
 
+UNTOLD_LIFETIME_SECONDS = 10.0
+"""Time for which a leaving counts if the process does not tell its lifetime.
+
+A process that follows at the same address looks the same then.
+"""
+
 
 class InvalidLimit(ValueError):
     """A stated limit is not a finite number of at least 0."""
@@ -37,6 +43,28 @@
     received_at: float
     """When the response came, in seconds of the monotonic clock."""
 
+    def is_leaving_at(self, now: float) -> bool:
+        """Whether the process that stated its leaving is the present one."""
+        is_recent = now - self.received_at < UNTOLD_LIFETIME_SECONDS
+        is_told = self.statement.lifetime > 0
+        return self.statement.is_leaving and (is_told or is_recent)
+
+
+def merge_statements(
+    before: UpstreamStatement, statement: UpstreamStatement
+) -> UpstreamStatement:
+    """Return what holds after a statement that follows another.
+
+    One of an earlier process is ignored, and a process that has stated its
+    leaving does not take that back.
+    """
+    if statement.lifetime < before.lifetime:
+        return before
+    is_same = statement.lifetime == before.lifetime and before.lifetime > 0
+    if is_same and before.is_leaving:
+        return msgspec.structs.replace(statement, is_leaving=True)
+    return statement
+
 
 def parse_limit(text: str) -> float:
     """Return a stated limit, in requests a second.
--- a/packages/node/src/kumquathold_node/announcements.py
+++ b/packages/node/src/kumquathold_node/announcements.py
@@ -54,6 +54,9 @@
     state: UpstreamState = UpstreamState.ready
     """Whether it is starting, ready or leaving."""
 
+    lifetime: int = 0
+    """Start of its process in Unix milliseconds, 0 if not told."""
+
 
 class AnnouncementResponse(msgspec.Struct, frozen=True):
     """Body of the response."""
@@ -143,9 +146,13 @@
         ready=announcement.state == UpstreamState.ready,
         leaving=announcement.state == UpstreamState.leaving,
         address=announcement.address,
+        lifetime=announcement.lifetime,
     )
     announced = AnnouncedEvent(
-        record, monotonic() + ANNOUNCEMENT_LIFETIME_SECONDS, reply
+        record,
+        monotonic() + ANNOUNCEMENT_LIFETIME_SECONDS,
+        reply,
+        AnnouncementStamp(announcement.lifetime),
     )
     kernel.find('owner').task.post(announced)
     try:
--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -399,6 +399,9 @@
     def _is_excluded(self, candidate: Candidate, now: float) -> bool:
         return (
             self.excluded_upstreams.get(candidate.upstream, 0) > now
+            or self.statements.is_leaving(
+                candidate.upstream, candidate.lifetime, now
+            )
             or self.excluded_owners.get(candidate.owner, 0) > now
             or candidate.owner in self.membership.view.suspects
         )
@@ -438,6 +441,7 @@
             for one in view.candidates
             if one.upstream not in ejected
             and self.excluded_upstreams.get(one.upstream, 0) <= now
+            and not self.statements.is_leaving(one.upstream, one.lifetime, now)
         ]
         suspects = self.membership.view.suspects
         reachable = [
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -417,6 +417,9 @@
         )
         if is_limited_anew:
             self._refuse_unstartable(upstream)
+        if stated.is_leaving and not upstream.record.leaving:
+            self.roster.record_leaving(upstream)
+            self._refuse_queued(upstream)
 
     def _refuse_unstartable(self, upstream: Upstream) -> None:
         for waiting in upstream.find_unstartable(monotonic()):
--- a/packages/node/src/kumquathold_node/owner_statements.py
+++ b/packages/node/src/kumquathold_node/owner_statements.py
@@ -11,6 +11,7 @@
 from kumquathold_core.upstream_statements import (
     KnownStatement,
     UpstreamStatement,
+    merge_statements,
 )
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner_requests import OwnerRequest, Upstream
@@ -32,10 +33,13 @@
     if known is not None and stated.received_at < known.received_at:
         return False
     before = known.statement if known else UpstreamStatement()
-    statement = UpstreamStatement(
-        lifetime=upstream.record.lifetime,
-        limit=before.limit if stated.limit_error else stated.limit,
-        is_leaving=before.is_leaving or stated.is_leaving,
+    statement = merge_statements(
+        before,
+        UpstreamStatement(
+            lifetime=upstream.record.lifetime,
+            limit=before.limit if stated.limit_error else stated.limit,
+            is_leaving=stated.is_leaving,
+        ),
     )
     _apply_statement(
         upstream,
--- a/packages/node/src/kumquathold_node/upstream_roster.py
+++ b/packages/node/src/kumquathold_node/upstream_roster.py
@@ -74,6 +74,9 @@
             self._publish('upstream announced', record)
         upstream.expires_at = announced.expires_at
         upstream.record_restart()
+        known = upstream.known_statement
+        if known is not None and known.is_leaving_at(monotonic()):
+            record = msgspec.structs.replace(record, leaving=True)
         if upstream.record != record:
             upstream.record = record
             self._publish('upstream changed', record)
@@ -86,13 +89,23 @@
         )
         upstream = self.upstreams.get(deregistered.name)
         if upstream is not None:
-            upstream.record = msgspec.structs.replace(
-                upstream.record,
-                leaving=True,
-            )
-            self._publish('upstream deregistered', upstream.record)
+            self._set_leaving('upstream deregistered', upstream)
         return upstream
 
+    def record_leaving(self, upstream: Upstream) -> None:
+        """Mark an upstream as leaving that stated so in a response.
+
+        Announcements of the same process that say otherwise are outdated.
+        """
+        self.announcement_tracker.record_deregistration(
+            upstream.record.name, upstream.record.lifetime
+        )
+        self._set_leaving('upstream stated leaving', upstream)
+
+    def _set_leaving(self, event: str, upstream: Upstream) -> None:
+        upstream.record = msgspec.structs.replace(upstream.record, leaving=True)
+        self._publish(event, upstream.record)
+
     def record_down(self, name: str) -> None:
         """Mark an upstream that refuses connections as not ready.
 
--- a/packages/standins/src/kumquathold_standins/upstream.py
+++ b/packages/standins/src/kumquathold_standins/upstream.py
@@ -29,6 +29,7 @@
 """Requests whose target contains it crash the process."""
 
 CRASH_EXIT_CODE = 70
+MILLISECONDS_PER_SECOND = 1000
 
 
 class Behaviour(msgspec.Struct):
@@ -93,6 +94,7 @@
     def __init__(self, address: str, ledger: str, seed: int) -> None:
         """Open the ledger."""
         self.address = address
+        self.lifetime = round(time.time() * MILLISECONDS_PER_SECOND)
         self.behaviour = Behaviour()
         self.rng = random.Random(seed)
         self.lock = threading.Lock()
@@ -303,6 +305,7 @@
                 'address': upstream.address,
                 'slots': slots,
                 'state': state,
+                'lifetime': upstream.lifetime,
             },
         )
         is_idle = reply is not None and not (
--- a/tests/test_start_limiter.py
+++ b/tests/test_start_limiter.py
@@ -14,11 +14,9 @@
 from kumquathold_core.placement import LoadEstimate, PlacementRequest
 from kumquathold_core.rules import ZoneScope
 from kumquathold_core.start_limiter import MIN_STARTS_PER_SECOND, StartLimiter
-from kumquathold_core.statement_table import (
-    UNTOLD_LIFETIME_SECONDS,
-    StatementTable,
-)
+from kumquathold_core.statement_table import StatementTable
 from kumquathold_core.upstream_statements import (
+    UNTOLD_LIFETIME_SECONDS,
     InvalidLimit,
     UpstreamStatement,
     parse_limit,
