Fail a response that ends in its head, or whose framing is ambiguous

It happened here: http.client takes the end of the stream for the end of the head, a line that is no header field for the start of the body, and then reads a body without a length to the end, so the caller got what had come, framed as whole. The same for a cut chunk line of zeros, a length that is no number and a transfer coding it does not know.

The reader raises when a line, or a head after its first line, ends with the stream, and the head is refused where it does not tell the length of its body. The outcome is unknown and the caller gets a 502.

--- a/packages/node/src/kumquathold_node/upstream_responses.py
+++ b/packages/node/src/kumquathold_node/upstream_responses.py
@@ -14,6 +14,11 @@
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
+from email.errors import (
+    FirstHeaderLineIsContinuationDefect,
+    MissingHeaderBodySeparatorDefect,
+)
+from email.message import Message
 from time import monotonic
 from typing import Any
 
@@ -32,6 +37,16 @@
 MAX_READING_BYTES = 67_108_864
 """Size of all bodies that a node reads at the same time."""
 
+HEAD = 'head'
+BODY = 'body'
+"""Parts of a response."""
+
+BROKEN_HEAD_DEFECTS = (
+    FirstHeaderLineIsContinuationDefect,
+    MissingHeaderBodySeparatorDefect,
+)
+"""Defects from which on the parser reads no further header fields."""
+
 READ_CHUNK_BYTES = 262_144
 BODILESS_STATUSES = frozenset(
     (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
@@ -56,6 +71,10 @@
     """A response exceeded a limit; the message names the limit."""
 
 
+class AmbiguousFraming(http.client.HTTPException):
+    """The head of a response does not tell where its body ends."""
+
+
 class ForeignResponse(http.client.HTTPException):
     """A response carries the id of another request."""
 
@@ -153,11 +172,11 @@
         self.source = sock.makefile('rb', buffering=0)
         self.deadline = deadline
         self.bytes_left = MAX_HEAD_BYTES
-        self.part = 'head'
+        self.part = HEAD
 
     def begin_body(self) -> None:
         """Limit the reads from now on to the size of a body."""
-        self.part = 'body'
+        self.part = BODY
         self.bytes_left = MAX_RESPONSE_BYTES * MAX_CODING_FACTOR
 
     def readable(self) -> bool:
@@ -182,6 +201,32 @@
         super().close()
 
 
+class LineReader(io.BufferedReader):
+    """A buffered reader in which no line ends with the stream.
+
+    A line that is cut raises `IncompleteRead`, and so does a head that ends
+    after its first line: `http.client` takes the end of the stream for the end
+    of the head, and the part of a line for the line.
+    """
+
+    def __init__(self, stream: BoundedStream) -> None:
+        """Read from `stream`."""
+        super().__init__(stream)
+        self.stream = stream
+        self.has_first_line = False
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return the next line with its end, or up to `size` bytes of it."""
+        line = super().readline(size)
+        limit = -1 if size is None else size
+        is_whole = line.endswith(b'\n') or 0 <= limit <= len(line)
+        is_cut_head = self.has_first_line and self.stream.part == HEAD
+        if not is_whole and (line or is_cut_head):
+            raise http.client.IncompleteRead(line)
+        self.has_first_line = True
+        return line
+
+
 class BoundedResponse(http.client.HTTPResponse):
     """A response whose head and body are read through a `BoundedStream`."""
 
@@ -195,14 +240,38 @@
         super().__init__(sock, method=method)
         self.fp.close()
         self.stream = BoundedStream(sock, deadline)
-        self.fp = io.BufferedReader(self.stream)
+        self.fp = LineReader(self.stream)
 
     def begin(self) -> None:
-        """Read the head."""
+        """Read the head.
+
+        Raises `HTTPException` if the length of the body cannot be told for
+        sure.
+        """
         super().begin()
+        check_framing(self.msg)
         self.stream.begin_body()
 
 
+def check_framing(head: Message) -> None:
+    """Raise `AmbiguousFraming` if a head does not tell where the body ends.
+
+    `http.client` reads such a body to the end of the stream, so that one which
+    is cut looks complete.
+    """
+    if any(isinstance(one, BROKEN_HEAD_DEFECTS) for one in head.defects):
+        raise AmbiguousFraming('a line of the head is no header field')
+    codings = head.get_all('Transfer-Encoding', [])
+    if codings:
+        if [one.strip().lower() for one in codings] != ['chunked']:
+            raise AmbiguousFraming(f'transfer coding {codings}')
+        return
+    lengths = {one.strip() for one in head.get_all('Content-Length', [])}
+    are_numbers = all(one.isascii() and one.isdigit() for one in lengths)
+    if len(lengths) > 1 or not are_numbers:
+        raise AmbiguousFraming(f'content length {sorted(lengths)}')
+
+
 class UpstreamConnection(http.client.HTTPConnection):
     """A connection whose responses are read until a deadline."""
 
--- a/tests/test_upstream_trouble.py
+++ b/tests/test_upstream_trouble.py
@@ -10,12 +10,13 @@
 import unittest
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
+from unittest import mock
 
 import msgspec
 
 from kumquathold_core.forwarding import ForwardRequest, Outcome, Refusal
 from kumquathold_core.identity import RequestId, UpstreamRecord
-from kumquathold_node import owner_outcomes
+from kumquathold_node import owner_outcomes, upstream_probes
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.owner_requests import OwnerRequest, Upstream
 from kumquathold_node.upstream_calls import CallFailed, UpstreamCalls
@@ -213,6 +214,59 @@
         self.assertEqual(failed.exception.outcome, Outcome.unknown)
 
 
+PLAIN_RESPONSE = (
+    OK_HEAD + b'A: b\r\nContent-Length: 12\r\nC: d\r\n\r\nhello, world'
+)
+CHUNKED_RESPONSE = (
+    OK_HEAD + b'Transfer-Encoding: chunked\r\nA: b\r\n\r\n'
+    b'0000c\r\nhello, world\r\n0\r\n\r\n'
+)
+END_OF_CHUNKS = b'0\r\n'
+
+
+class CutResponseTest(unittest.TestCase):
+    """A response that ends early is never taken for a whole one."""
+
+    def run_call(self, sent: bytes) -> bytes:
+        """Return the body of a response that ends after these bytes."""
+
+        def serve(connection: socket.socket) -> None:
+            connection.recv(65536)
+            connection.sendall(sent)
+
+        is_running = mock.patch.object(
+            upstream_probes, 'has_ended', return_value=False
+        )
+        with raw_upstream(serve) as upstream, is_running:
+            return UpstreamCalls(upstream.address).run(make_work(), b'').body
+
+    def check_cuts(self, response: bytes, complete_from: int) -> None:
+        """Check that every cut before `complete_from` bytes fails."""
+        self.assertEqual(self.run_call(response), b'hello, world')
+        for end in range(complete_from):
+            with self.subTest(response[:end]):
+                with self.assertRaises(CallFailed) as failed:
+                    self.run_call(response[:end])
+                self.assertEqual(failed.exception.outcome, Outcome.unknown)
+
+    def test_response_with_a_length(self) -> None:
+        self.check_cuts(PLAIN_RESPONSE, len(PLAIN_RESPONSE))
+
+    def test_response_in_chunks(self) -> None:
+        last_chunk = CHUNKED_RESPONSE.index(b'\r\n' + END_OF_CHUNKS) + 2
+        self.check_cuts(CHUNKED_RESPONSE, last_chunk + len(END_OF_CHUNKS))
+
+    def test_head_that_hides_the_length_of_the_body(self) -> None:
+        for lines in (
+            b'no header field\r\nContent-Length: 12',
+            b'Content-Length: 1x2',
+            b'Content-Length: 12\r\nContent-Length: 13',
+            b'Transfer-Encoding: gzip, chunked',
+        ):
+            with self.subTest(lines), self.assertRaises(CallFailed):
+                self.run_call(OK_HEAD + lines + b'\r\n\r\nhello')
+
+
 class EndedProcessTest(unittest.TestCase):
     """A crash is blamed on the request that caused it."""
 
