Never take a late refusal on a kept connection for the next request's

A response on a connection that was used before must carry the id of its request, and a request does not take a connection that has carried its id. A connection ends after 1000 requests, which bounds the ids kept for it. The tests of kept connections sent the same id twice; they send two ids now, and their upstream answers with the id that it got.

--- a/packages/node/src/kumquathold_node/upstream_calls.py
+++ b/packages/node/src/kumquathold_node/upstream_calls.py
@@ -2,11 +2,12 @@
 
 An idle connection is reused only within the upstream's `Keep-Alive` timeout
 and while nothing has arrived on it since its last response. A second copy of
-that response may still arrive afterwards. Only the id of the request tells it
-apart, so a connection is kept only if the last response carried one. The
-dialect decides whether requests that must not run twice may reuse a connection:
-it may be dead without a sign of it, and a failed call leaves the outcome
-unknown.
+an earlier response may still arrive afterwards. Only the id of the request
+tells it apart: a connection is kept only if the last response carried one, the
+next response must carry one too, and a request that is repeated takes a
+connection that has not carried it. The dialect decides whether requests that
+must not run twice may reuse a connection: it may be dead without a sign of it,
+and a failed call leaves the outcome unknown.
 """
 
 from __future__ import annotations
@@ -44,6 +45,9 @@
 IDLE_TIMEOUT_SECONDS = 5.0
 KEEP_ALIVE_MARGIN_SECONDS = 1.0
 MAX_IDLE_CONNECTIONS = 8
+MAX_REQUESTS_PER_CONNECTION = 1000
+"""Bounds the ids that are kept for a connection."""
+
 MAX_CAUSE_CHARACTERS = 200
 STALE_CONNECTION_SECONDS = 0.03
 OUTCOME_HEADER = 'Kumquathold-Outcome'
@@ -162,7 +166,9 @@
         self, message: ForwardRequest, body: bytes
     ) -> UpstreamResponse:
         may_reuse = message.idempotent or self.dialect.reuses_for_non_idempotent
-        connection = self._take_idle_connection() if may_reuse else None
+        connection = None
+        if may_reuse:
+            connection = self._take_idle_connection(self._id_of(message))
         if connection is None:
             return self._run_on_connection(self._connect(), message, body)
         try:
@@ -228,15 +234,22 @@
             ) from error
         return connection
 
-    def _take_idle_connection(self) -> UpstreamConnection | None:
+    def _take_idle_connection(self, sent_id: str) -> UpstreamConnection | None:
+        """Remove and return a connection that has not carried this id."""
         now = monotonic()
         with self.lock:
-            while self.idle:
+            unfit: list[IdleConnection] = []
+            found = None
+            while self.idle and found is None:
                 idle = self.idle.pop()
-                if idle.expires_at >= now and _is_reusable(idle.connection):
-                    return idle.connection
-                idle.connection.close()
-        return None
+                if idle.expires_at < now or not _is_reusable(idle.connection):
+                    idle.connection.close()
+                elif sent_id in idle.connection.carried_ids:
+                    unfit.append(idle)
+                else:
+                    found = idle.connection
+            self.idle.extend(reversed(unfit))
+            return found
 
     def _release_connection(
         self,
@@ -244,8 +257,9 @@
         seconds: float,
     ) -> None:
         idle = IdleConnection(connection, monotonic() + seconds)
+        has_room = len(connection.carried_ids) < MAX_REQUESTS_PER_CONNECTION
         with self.lock:
-            if len(self.idle) < MAX_IDLE_CONNECTIONS:
+            if has_room and len(self.idle) < MAX_IDLE_CONNECTIONS:
                 self.idle.append(idle)
                 return
         connection.close()
@@ -293,9 +307,14 @@
     ) -> UpstreamResponse:
         connection.deadline = message.deadline
         _set_timeout(connection, message.deadline)
+        is_reused = bool(connection.carried_ids)
+        connection.carried_ids.add(self._id_of(message))
         self._send_request(connection, message, body)
         with closing(connection.getresponse()) as response:
             statement = read_statement(response, self.dialect)
+            names_request = self._names_request(response, message)
+            if is_reused and not names_request:
+                raise ForeignResponse('response without an id')
             content = read_body(response, message.method, self.memory)
             return self._make_response(
                 response,
@@ -303,6 +322,7 @@
                 content,
                 monotonic() - started,
                 statement,
+                names_request=names_request,
             )
 
     def _make_response(
@@ -312,8 +332,9 @@
         content: bytes,
         seconds: float,
         statement: ResponseStatement,
+        *,
+        names_request: bool,
     ) -> UpstreamResponse:
-        names_request = self._names_request(response, message)
         headers = strip_hop_by_hop_headers(response.getheaders())
         content_length = response.getheader('Content-Length')
         if message.method == 'HEAD' and content_length is not None:
@@ -337,16 +358,19 @@
 
         Raises `ForeignResponse` if it carries another id.
         """
-        name = self.dialect.request_id.lower()
-        sent = str(message.request)
-        if self.dialect.passes_request_id:
-            ids = (text for key, text in message.headers if key.lower() == name)
-            sent = next(ids, '')
-        echoed = response.getheader(name)
-        if echoed is not None and echoed != sent:
+        echoed = response.getheader(self.dialect.request_id)
+        if echoed is not None and echoed != self._id_of(message):
             raise ForeignResponse('response to another request')
         return echoed is not None
 
+    def _id_of(self, message: ForwardRequest) -> str:
+        """Return the id that the upstream gets with a request."""
+        if not self.dialect.passes_request_id:
+            return str(message.request)
+        name = self.dialect.request_id.lower()
+        ids = (text for key, text in message.headers if key.lower() == name)
+        return next(ids, '')
+
     def _check_response(
         self, response: UpstreamResponse, message: ForwardRequest
     ) -> None:
--- a/packages/node/src/kumquathold_node/upstream_responses.py
+++ b/packages/node/src/kumquathold_node/upstream_responses.py
@@ -279,6 +279,8 @@
         """Prepare to connect to `address` within `connect_timeout` seconds."""
         super().__init__(address, timeout=connect_timeout)
         self.deadline = 0.0
+        self.carried_ids: set[str] = set()
+        """Ids of the requests sent on it, by which late copies are told."""
         self.response_class = self._make_response  # type: ignore[assignment]
 
     def _make_response(
--- a/tests/test_upstream_calls.py
+++ b/tests/test_upstream_calls.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import re
 import socket
 import threading
 import time
@@ -19,9 +20,10 @@
 from tests.test_jobs import WORK
 
 RESPONSE = (
-    'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=9\r\n'
-    f'Kumquathold-Request: {WORK.request}\r\n\r\nok'
-).encode()
+    b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=9\r\n'
+    b'Kumquathold-Request: %s\r\n\r\nok'
+)
+ID_PATTERN = re.compile(rb'Kumquathold-Request: (\S+)')
 RUN_SECONDS = 0.3
 DEADLINE_SECONDS = 5.0
 
@@ -52,13 +54,15 @@
 
     def _serve_connection(self, connection: socket.socket) -> None:
         for index in range(2):
-            if not connection.recv(65536):
+            received = connection.recv(65536)
+            if not received:
                 return
             self.request_count += 1
             if index:
                 time.sleep(self.run_seconds)
                 return
-            connection.sendall(RESPONSE)
+            request_id = ID_PATTERN.findall(received)[0]
+            connection.sendall(RESPONSE % request_id)
 
 
 @contextmanager
@@ -87,9 +91,12 @@
             idempotent=True,
             method='GET',
         )
+        second = msgspec.structs.replace(
+            work, request=msgspec.structs.replace(work.request, number=2)
+        )
         calls.run(work, b'')
         try:
-            calls.run(work, b'')
+            calls.run(second, b'')
         finally:
             calls.close()
 
