Tell the fleet of stated limits, and return what waits in vain for one

The record of an upstream carries its stated limit, published as it begins, ends or changes by half. Where there is no recent report, placement assumes the wait for one start. An owner returns a waiting request as soon as the limit no longer lets it finish in time.

--- a/packages/core/src/kumquathold_core/candidates.py
+++ b/packages/core/src/kumquathold_core/candidates.py
@@ -26,6 +26,9 @@
     lifetime: int = 0
     """Start of its process in Unix milliseconds, 0 if not known."""
 
+    limit: float | None = None
+    """Requests a second that it takes from all nodes, if it states so."""
+
 
 def rank_distance(candidate: Candidate, zone: str, region: str) -> int:
     """Return the network distance of a candidate from `zone` and `region`.
--- a/packages/core/src/kumquathold_core/fair_queue.py
+++ b/packages/core/src/kumquathold_core/fair_queue.py
@@ -142,11 +142,11 @@
         return queue is not None and queue.remove(key.workspace, item)
 
     def items(self) -> list[Item]:
-        """Return all queued requests."""
+        """Return all queued requests, by rank."""
         queues = [
             queue
-            for fair_queue in self.queues.values()
-            for queue in fair_queue.queues.values()
+            for rank in sorted(self.queues)
+            for queue in self.queues[rank].queues.values()
         ]
         return list(itertools.chain.from_iterable(queues))
 
@@ -223,5 +223,5 @@
         )
 
     def items(self) -> list[Item]:
-        """Return all queued requests."""
+        """Return all queued requests; those served first come first."""
         return [*self.on_time.items(), *self.late.items()]
--- a/packages/core/src/kumquathold_core/identity.py
+++ b/packages/core/src/kumquathold_core/identity.py
@@ -46,6 +46,9 @@
     lifetime: int = 0
     """Start of its process in Unix milliseconds, 0 if not reported."""
 
+    limit: float | None = None
+    """Requests a second that its responses state it takes, if limited."""
+
 
 class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
     """What a node announces about itself, disseminated by gossip."""
--- a/packages/core/src/kumquathold_core/placement.py
+++ b/packages/core/src/kumquathold_core/placement.py
@@ -58,6 +58,9 @@
 IDLE_SECONDS = 1.0
 """Age of a report from which an upstream of the zone gets a trial request."""
 
+LIMIT_SPREAD_SECONDS = 2.0
+"""Time that a change of a stated limit may take to reach all nodes."""
+
 MAX_DISTANCE = {ZoneScope.zone: 0, ZoneScope.region: 1, ZoneScope.any: 2}
 """Largest `rank_distance` that each scope allows."""
 
@@ -190,6 +193,25 @@
     return max(report.backlog - served, report.in_flight)
 
 
+def estimate_limit_wait(
+    candidate: Candidate,
+    report: LoadEstimate,
+    now: float,
+) -> float:
+    """Return the expected wait for the limit that a candidate states.
+
+    Right after a report the owner's own estimate counts. Later, others have
+    used what the limit left room for, and the wait for one start is assumed.
+    """
+    age = now - report.reported_at
+    limit = report.limit if age < LIMIT_SPREAD_SECONDS else candidate.limit
+    if limit is None:
+        return 0.0
+    interval = 1 / max(limit, MIN_STARTS_PER_SECOND)
+    assumed = interval if age >= interval else 0.0
+    return max(assumed, report.may_start_at - now)
+
+
 def is_due_for_trial(
     candidate: Candidate,
     report: LoadEstimate,
@@ -205,7 +227,7 @@
     """
     if not request.may_send_trial or report.in_flight:
         return False
-    if report.may_start_at > now:
+    if estimate_limit_wait(candidate, report, now) > 0:
         return False
     age = now - report.reported_at
     is_idle = candidate.zone == request.zone and age >= IDLE_SECONDS
@@ -237,7 +259,7 @@
     slots = candidate.slots
     wait = max(
         admission.estimate_slot_wait(slots, backlog, report.service_seconds),
-        report.may_start_at - now,
+        estimate_limit_wait(candidate, report, now),
     )
     usual = request.usual_seconds
     seconds = usual * report.slowness_at(now)
--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -557,6 +557,7 @@
                 region=node.region,
                 slots=upstream.slots,
                 lifetime=upstream.lifetime,
+                limit=upstream.limit,
             )
             found.setdefault(upstream.service, []).append(candidate)
     return {
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -415,6 +415,7 @@
         is_limited_anew = owner_statements.record_statement(
             upstream, request, stated, self.metrics
         )
+        self.roster.record_limit(upstream)
         if is_limited_anew:
             self._refuse_unstartable(upstream)
         if stated.is_leaving and not upstream.record.leaving:
@@ -422,6 +423,7 @@
             self._refuse_queued(upstream)
 
     def _refuse_unstartable(self, upstream: Upstream) -> None:
+        """Return what the stated limit makes too late; others may take it."""
         for waiting in upstream.find_unstartable(monotonic()):
             upstream.queue.remove(waiting)
             self._fail(waiting, Outcome.not_run, Refusal.upstream_busy)
@@ -457,6 +459,7 @@
             for request in upstream.find_overdue(now):
                 upstream.queue.remove(request)
                 self._fail(request, Outcome.not_run, Refusal.overloaded)
+            self._refuse_unstartable(upstream)
             self._start_queued(upstream)
         self.roster.remove_expired(now)
 
@@ -491,7 +494,8 @@
         upstream = self.upstreams[request.message.upstream]
         message = request.message
         now = monotonic()
-        owner_statements.adopt_statement(upstream, message, now)
+        if owner_statements.adopt_statement(upstream, message, now):
+            self.roster.record_limit(upstream)
         load = upstream.measure_load(
             now, upstream.queue.count_ahead_of(message.rank)
         )
--- a/packages/node/src/kumquathold_node/owner_requests.py
+++ b/packages/node/src/kumquathold_node/owner_requests.py
@@ -190,6 +190,8 @@
 
         They could not finish before their deadlines any more.
         """
+        if self.limiter.rate is None:
+            return []
         needed = self.service_seconds * MIN_SERVICE_SHARE
         return [
             request
--- a/packages/node/src/kumquathold_node/owner_statements.py
+++ b/packages/node/src/kumquathold_node/owner_statements.py
@@ -68,17 +68,17 @@
 
 def adopt_statement(
     upstream: Upstream, message: ForwardRequest, now: float
-) -> None:
+) -> bool:
     """Take over what an ingress knows, if this process knows nothing yet.
 
     Any response that this process gets takes precedence. A leaving is not taken
-    over: the ingress that knows of it does not send.
+    over: the ingress that knows of it does not send. Returns whether it was.
     """
     stated = message.statement
     if stated is None or upstream.known_statement is not None:
-        return
+        return False
     if stated.lifetime != upstream.record.lifetime:
-        return
+        return False
     adopted = msgspec.structs.replace(stated, is_leaving=False)
     _apply_statement(upstream, KnownStatement(adopted, -math.inf), now)
     logger.info(
@@ -87,6 +87,7 @@
         request=message.caller_id,
         limit=adopted.limit,
     )
+    return True
 
 
 def _apply_statement(
--- a/packages/node/src/kumquathold_node/upstream_roster.py
+++ b/packages/node/src/kumquathold_node/upstream_roster.py
@@ -22,6 +22,9 @@
 from kumquathold_node.owner_requests import Upstream
 from kumquathold_node.upstream_responses import ResponseMemory
 
+MAX_LIMIT_RATIO = 1.5
+"""Ratio of two limits up to which the second is not published."""
+
 
 class UpstreamRoster:
     """The upstreams beside this node, by name."""
@@ -74,6 +77,7 @@
             self._publish('upstream announced', record)
         upstream.expires_at = announced.expires_at
         upstream.record_restart()
+        record = msgspec.structs.replace(record, limit=upstream.record.limit)
         known = upstream.known_statement
         if known is not None and known.is_leaving_at(monotonic()):
             record = msgspec.structs.replace(record, leaving=True)
@@ -102,6 +106,19 @@
         )
         self._set_leaving('upstream stated leaving', upstream)
 
+    def record_limit(self, upstream: Upstream) -> None:
+        """Publish the stated limit of an upstream if it is another one.
+
+        Small changes are not worth a message to all nodes: an owner holds each
+        request against the exact limit.
+        """
+        known = upstream.known_statement
+        limit = known.statement.limit if known else None
+        if is_about_equal(upstream.record.limit, limit):
+            return
+        upstream.record = msgspec.structs.replace(upstream.record, limit=limit)
+        self._publish('upstream limit changed', upstream.record)
+
     def _set_leaving(self, event: str, upstream: Upstream) -> None:
         upstream.record = msgspec.structs.replace(upstream.record, leaving=True)
         self._publish(event, upstream.record)
@@ -145,6 +162,14 @@
         logger.info(event, **msgspec.structs.asdict(record))
 
 
+def is_about_equal(published: float | None, limit: float | None) -> bool:
+    """Whether a published limit still describes a limit well enough."""
+    if published is None or limit is None:
+        return published is limit
+    lower, higher = sorted((published, limit))
+    return higher <= lower * MAX_LIMIT_RATIO
+
+
 def find_predecessors(
     upstreams: dict[str, Upstream],
     record: UpstreamRecord,
--- a/tests/test_start_limiter.py
+++ b/tests/test_start_limiter.py
@@ -136,6 +136,22 @@
         loads['limited'].record_send(5.0)
         self.assertEqual(choose(), free)
 
+    def test_limit_that_the_fleet_tells_counts_without_a_report(self) -> None:
+        near = Candidate('near', 'near', 'a', 'r', 4, limit=1.0)
+        load = LoadEstimate(reported_at=100.0)
+        waits = [
+            placement.estimate_limit_wait(near, load, now)
+            for now in (100.5, 200.0)
+        ]
+        self.assertEqual(waits, [0.0, 1.0])
+        lifted = msgspec.structs.replace(near, limit=None)
+        load.record_limit(1.0, 0.3, 100.0)
+        waits = [
+            placement.estimate_limit_wait(lifted, load, now)
+            for now in (100.0, 101.5, 103.0)
+        ]
+        self.assertEqual([round(wait, 3) for wait in waits], [0.3, 1.0, 0.0])
+
 
 class StatementTableTest(unittest.TestCase):
     """Statements are of one process of an upstream."""
