Break off no request that comes late in a shutdown, and end servers clean

Here they were answered with an error in place of the upstream's answer: with a grace of 10 s all requests were taken for 5 s, and those still at work at 8.5 s were broken off. All are taken for 3 s at most now, later only those whose deadline comes before the node ends; the rest is refused at once, unrun.

--- a/packages/node/src/kumquathold_node/caller_connections.py
+++ b/packages/node/src/kumquathold_node/caller_connections.py
@@ -9,12 +9,14 @@
 
 import select
 from concurrent.futures import Future
+from time import monotonic, sleep
 from typing import Any
 
 import waitress.server
 import waitress.wasyncore
 
 CLOSE_TIMEOUT_SECONDS = 1.0
+POLL_INTERVAL_SECONDS = 0.01
 
 
 def stop_listening(server: waitress.server.BaseWSGIServer) -> None:
@@ -36,6 +38,23 @@
     return left.result(CLOSE_TIMEOUT_SECONDS)
 
 
+def close_all(server: waitress.server.BaseWSGIServer, timeout: float) -> bool:
+    """Stop listening, and close each connection once it has its response.
+
+    Returns whether none is left after `timeout` seconds.
+    """
+    stop_listening(server)
+    end_at = monotonic() + timeout
+    try:
+        while close_idle(server):
+            if monotonic() >= end_at:
+                return False
+            sleep(POLL_INTERVAL_SECONDS)
+    except TimeoutError:
+        return False
+    return True
+
+
 def _close_listener(server: waitress.server.BaseWSGIServer) -> None:
     if not server.accepting:
         return
--- a/packages/node/src/kumquathold_node/caller_server.py
+++ b/packages/node/src/kumquathold_node/caller_server.py
@@ -28,9 +28,6 @@
 if TYPE_CHECKING:
     import waitress.server
 
-RETRY_AFTER_SECONDS = 0.1
-"""Seconds after which callers that a draining node refuses may retry."""
-
 BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
@@ -49,7 +46,7 @@
         kernel.register('request-gate', self)
 
     def drain(self, close_at: float, give_up_at: float) -> None:
-        """Accept requests until `close_at`, and end all by `give_up_at`.
+        """Accept all requests until `close_at`, and end them by `give_up_at`.
 
         Both are times of the own monotonic clock, in seconds.
         """
@@ -57,6 +54,14 @@
         self.give_up_at = give_up_at
         self.is_draining = True
 
+    def may_accept(self, deadline: float) -> bool:
+        """Whether to take a request, given its deadline on the own clock.
+
+        Late in a drain only those are taken that end before the node does, as
+        the others would be broken off.
+        """
+        return monotonic() < self.close_at or deadline <= self.give_up_at
+
     def close(self) -> None:
         """Stop accepting connections."""
         if self.server is not None:
@@ -100,9 +105,7 @@
             try:
                 request = caller_requests.read_request(environ, dialect)
                 request_id = request.id
-                response = _handle_request(
-                    ingress, metrics, request, dialect, request_gate
-                )
+                response = _handle_request(ingress, metrics, request, dialect)
                 body = caller_requests.strip_body(request, response)
             except RequestRefused as refused:
                 metrics.count(f'ingress.refused.{refused.reason.value}')
@@ -125,13 +128,8 @@
     metrics: Metrics,
     request: CallerRequest,
     dialect: CallerDialect,
-    request_gate: RequestGate,
 ) -> CallerResponse:
     try:
-        if monotonic() >= request_gate.close_at:
-            raise RequestRefused(
-                Refusal.node_leaving, retry_after=RETRY_AFTER_SECONDS
-            )
         response = ingress.handle(request)
     except RequestRefused as refused:
         logger.info(
--- a/packages/node/src/kumquathold_node/http_server.py
+++ b/packages/node/src/kumquathold_node/http_server.py
@@ -33,6 +33,9 @@
 CONNECTION_LIMIT = 4000
 IDLE_CONNECTION_SECONDS = 60
 LISTEN_BACKLOG = 1024
+END_TIMEOUT_SECONDS = 0.1
+"""The end of a process takes this long at most for each of its servers."""
+
 
 StartResponse = Callable[..., Any]
 WsgiApp = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
@@ -156,6 +159,8 @@
     """Serve HTTP on `address` while the block runs, on `threads` at most.
 
     While `is_draining` returns true, connections are closed after a response.
+    As the block ends, requests that have arrived get their responses, for
+    `END_TIMEOUT_SECONDS` at most.
     """
     server = waitress.server.create_server(
         app,
@@ -184,5 +189,11 @@
     try:
         yield server
     finally:
-        caller_connections.stop_listening(server)
+        server.is_draining = _always
+        if not caller_connections.close_all(server, END_TIMEOUT_SECONDS):
+            logger.warning('connections left at the end', address=address)
         server.task_dispatcher.shutdown(cancel_pending=False)
+
+
+def _always() -> bool:
+    return True
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -64,6 +64,9 @@
 MAX_BUDGET_REFUSALS = 3
 """Owners without a retry left after which a request is not retried."""
 
+LEAVING_RETRY_SECONDS = 0.1
+"""Seconds after which callers that a draining node refuses may retry."""
+
 TRIAL_PAUSE_SECONDS = 2.0
 """Time without trials of suspect upstreams after a retry was refused."""
 
@@ -157,6 +160,11 @@
         if route.once and not claim:
             raise RequestRefused(Refusal.idempotency_key_missing)
         timeout = caller_requests.timeout_of(request, route)
+        deadline = request.arrived_at + timeout
+        if not self.context.request_gate.may_accept(deadline):
+            raise RequestRefused(
+                Refusal.node_leaving, retry_after=LEAVING_RETRY_SECONDS
+            )
         if workspace is not None:
             self._check_freshness(route)
             with self.metrics.timed('ingress.token'):
@@ -173,7 +181,7 @@
             workspace=workspace,
             key_id=key_id,
             claim=claim,
-            deadline=request.arrived_at + timeout,
+            deadline=deadline,
             body_digest=wire.digest_body(request.body),
         )
 
--- a/packages/node/src/kumquathold_node/shutdown.py
+++ b/packages/node/src/kumquathold_node/shutdown.py
@@ -29,7 +29,12 @@
 """Longest time from the request to shut down to the end of draining."""
 
 ACCEPT_UNTIL_SHARE = 0.5
-"""Share of the grace period after which callers' requests are refused."""
+MAX_ACCEPT_SECONDS = 3.0
+"""End of the time in which all callers' requests are taken.
+
+It is this share of the grace period, but no more than these seconds. A request
+that is taken later is broken off if its upstream still runs it at the end.
+"""
 
 RESPOND_BY_SHARE = 0.85
 """Share of the grace period after which every caller has a response."""
@@ -72,7 +77,8 @@
         self.owner.task.post(DrainCommand())
         self.membership.task.post(LeaveCommand())
         self.request_gate.drain(
-            close_at=requested_at + self.grace * ACCEPT_UNTIL_SHARE,
+            close_at=requested_at
+            + min(self.grace * ACCEPT_UNTIL_SHARE, MAX_ACCEPT_SECONDS),
             give_up_at=requested_at + self.grace * RESPOND_BY_SHARE,
         )
         threading.Thread(
