Return to an upstream whose stated limit has ended

Cause: all nodes learn the limit from the fleet's record and send elsewhere as long as others have room. Only a response tells that the limit has ended, so none came: a belief that nothing could contradict.

A published limit is withdrawn after 2 s, and the time of one start, without a response; the owner still keeps to it.

--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -461,6 +461,8 @@
                 self._fail(request, Outcome.not_run, Refusal.overloaded)
             self._refuse_unstartable(upstream)
             self._start_queued(upstream)
+            if owner_statements.is_limit_unconfirmed(upstream, now):
+                self.roster.withdraw_limit(upstream)
         self.roster.remove_expired(now)
 
     def _reassemble(
--- a/packages/node/src/kumquathold_node/owner_statements.py
+++ b/packages/node/src/kumquathold_node/owner_statements.py
@@ -17,6 +17,9 @@
 from kumquathold_node.owner_requests import OwnerRequest, Upstream
 from kumquathold_node.response_statements import ResponseStatement
 
+LIMIT_VALID_SECONDS = 2.0
+"""Time for which a published limit is believed without a further response."""
+
 
 def record_statement(
     upstream: Upstream,
@@ -90,6 +93,21 @@
     return True
 
 
+def is_limit_unconfirmed(upstream: Upstream, now: float) -> bool:
+    """Whether no response has confirmed a limit for a while.
+
+    Only a response tells that a limit has ended. Nodes that believe in it send
+    elsewhere, so that none would come.
+    """
+    known = upstream.known_statement
+    if known is None or upstream.limiter.rate is None:
+        return False
+    if upstream.in_use or upstream.queue.size:
+        return False
+    valid_for = LIMIT_VALID_SECONDS + 1 / upstream.limiter.rate
+    return now - known.received_at >= valid_for
+
+
 def _apply_statement(
     upstream: Upstream, known: KnownStatement, now: float
 ) -> None:
--- a/packages/node/src/kumquathold_node/upstream_roster.py
+++ b/packages/node/src/kumquathold_node/upstream_roster.py
@@ -116,8 +116,18 @@
         limit = known.statement.limit if known else None
         if is_about_equal(upstream.record.limit, limit):
             return
+        self._publish_limit('upstream limit changed', upstream, limit)
+
+    def withdraw_limit(self, upstream: Upstream) -> None:
+        """Publish no limit any more; the owner itself still keeps to it."""
+        if upstream.record.limit is not None:
+            self._publish_limit('upstream limit unconfirmed', upstream, None)
+
+    def _publish_limit(
+        self, event: str, upstream: Upstream, limit: float | None
+    ) -> None:
         upstream.record = msgspec.structs.replace(upstream.record, limit=limit)
-        self._publish('upstream limit changed', upstream.record)
+        self._publish(event, upstream.record)
 
     def _set_leaving(self, event: str, upstream: Upstream) -> None:
         upstream.record = msgspec.structs.replace(upstream.record, leaving=True)
