Take an upstream that another process has replaced out of use at once

An upstream's address may pass to another process, which then answers 421 to every request for the one before. The owner went on announcing that one as ready until its announcement expired, so each ingress tried it again every 3 s and the request had to go on to another upstream. Callers lost a hop of their time and a part of the retry budget.

The answer now takes the upstream out of use until its next announcement, as a refused connection does.

--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -387,7 +387,7 @@
             upstream, request
         ):
             self.crash_reports.report_crash(request)
-        if failure.crashed or failure.reason == Refusal.upstream_unreachable:
+        if owner_outcomes.is_absent(failure):
             self.roster.record_down(request.message.upstream)
         if not request.is_slot_free:
             self._free_slot(request)
--- a/packages/node/src/kumquathold_node/owner_outcomes.py
+++ b/packages/node/src/kumquathold_node/owner_outcomes.py
@@ -23,6 +23,11 @@
 )
 """Reasons of failed calls that are evidence of a gray upstream."""
 
+ABSENCE_REASONS = frozenset(
+    (Refusal.upstream_unreachable, Refusal.upstream_replaced)
+)
+"""Reasons of failed calls by which no such process is at the address."""
+
 
 def record_outcome(
     upstream: Upstream,
@@ -85,6 +90,11 @@
     return upstream is None or request.started_at < upstream.ended_at
 
 
+def is_absent(failure: CallFailed) -> bool:
+    """Whether a failed call shows that the upstream's process is not there."""
+    return failure.crashed or failure.reason in ABSENCE_REASONS
+
+
 def begin_trial(upstream: Upstream, request: OwnerRequest) -> None:
     """Mark a request as the trial request of a suspect upstream."""
     request.is_trial = True
--- a/packages/node/src/kumquathold_node/upstream_roster.py
+++ b/packages/node/src/kumquathold_node/upstream_roster.py
@@ -134,7 +134,7 @@
         self._publish(event, upstream.record)
 
     def record_down(self, name: str) -> None:
-        """Mark an upstream that refuses connections as not ready.
+        """Mark an upstream whose process is not there as not ready.
 
         It stays so until its next announcement. This is not an ejection: the
         floor counts only upstreams that are ready.
--- a/tests/test_owner_restart.py
+++ b/tests/test_owner_restart.py
@@ -3,38 +3,23 @@
 from __future__ import annotations
 
 import unittest
-from types import SimpleNamespace
-from typing import Any
-from unittest import mock
 
 from kumquathold_core import forwarding
 from kumquathold_core.forwarding import Outcome, Refusal
 from kumquathold_core.wire import Envelope
-from kumquathold_node.dialect import UpstreamDialect
-from kumquathold_node.kernel import Kernel
-from kumquathold_node.owner import Owner
+from tests.owner_stage import INCARNATION, INGRESS, OwnerStage
 from tests.test_jobs import WORK
 
-INGRESS = '10.0.0.9:1'
 EARLIER_INCARNATION = 1
-INCARNATION = 2
-SERVICES = ('call-failures', 'membership', 'configuration', 'claims', 'metrics')
 
 
 class EarlierProcessTest(unittest.TestCase):
     """What an earlier process did is never reported as not run."""
 
     def setUp(self) -> None:
-        kernel = Kernel()
-        self.transport = mock.MagicMock(incarnation=INCARNATION)
-        kernel.register('transport', self.transport)
-        for name in SERVICES:
-            kernel.register(name, mock.MagicMock())
-        settings: Any = SimpleNamespace(
-            retry_ratio=0.1, retry_extra=10.0, retry_window=10.0
-        )
-        self.owner = Owner(kernel, UpstreamDialect(), settings)
-        self.addCleanup(self.owner.workers.shutdown)
+        stage = OwnerStage.for_test(self)
+        self.transport = stage.transport
+        self.owner = stage.owner
 
     def check_reply_is_unknown(self) -> None:
         """Check the only reply that was sent."""
