Return queued requests that the end of a draining node would break off

Cause: an owner that drains refuses new requests, but went on starting queued ones until its process ended, whatever time they need. It now knows when its node ends. Queued requests that may still run then, by their wait and twice the average service time, are returned at once as not run, and their ingresses send them elsewhere with the time that they have left.

--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import http
+import math
 from concurrent.futures import ThreadPoolExecutor
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -64,6 +65,9 @@
 class DrainCommand(msgspec.Struct, frozen=True):
     """Asks the owner to refuse new requests, as its node is draining."""
 
+    end_at: float
+    """When the node ends at the latest, in seconds of the monotonic clock."""
+
 
 class Owner:
     """Owns the upstreams, their queues and the registry of requests."""
@@ -93,7 +97,8 @@
         self.upstreams = self.roster.upstreams
         self.requests: dict[RequestId, OwnerRequest] = {}
         self.crash_reports = CrashReports(kernel)
-        self.is_draining = False
+        self.drain_end_at = math.inf
+        """When the draining node ends, in seconds of the monotonic clock."""
         self.workers = ThreadPoolExecutor(WORKER_THREADS, 'owner-worker')
         self.replies = OwnerReplies(
             self.transport,
@@ -126,6 +131,11 @@
         kernel.register('owner', self)
         kernel.add_task(self.task)
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether the node refuses new requests."""
+        return math.isfinite(self.drain_end_at)
+
     @property
     def in_flight(self) -> int:
         """Number of requests that wait or run."""
@@ -290,9 +300,15 @@
             upstream.queue.remove(request)
             self._fail(request, Outcome.not_run, Refusal.upstream_leaving)
 
-    def on_drain(self, _: DrainCommand) -> None:
-        """Refuse new requests from now on; requests in flight continue."""
-        self.is_draining = True
+    def on_drain(self, command: DrainCommand) -> None:
+        """Refuse new requests from now on; running ones continue.
+
+        Queued ones that the end of the node would break off are returned, as
+        other nodes may still run them.
+        """
+        self.drain_end_at = command.end_at
+        for upstream in self.upstreams.values():
+            self._refuse_unfinishable(upstream)
 
     def on_claim_granted(
         self, granted: claims_service.ClaimGrantedEvent
@@ -428,6 +444,15 @@
             upstream.queue.remove(waiting)
             self._fail(waiting, Outcome.not_run, Refusal.upstream_busy)
 
+    def _refuse_unfinishable(self, upstream: Upstream) -> None:
+        """Return what would still run as the draining node ends."""
+        if not self.is_draining:
+            return
+        end_at = self.drain_end_at
+        for waiting in upstream.find_unfinishable(end_at, monotonic()):
+            upstream.queue.remove(waiting)
+            self._fail(waiting, Outcome.not_run, Refusal.node_leaving)
+
     def on_outcome_stored(
         self, stored: claims_service.OutcomeStoredEvent
     ) -> None:
@@ -546,6 +571,7 @@
         return key is None or key.workspace != message.workspace
 
     def _start_queued(self, upstream: Upstream) -> None:
+        self._refuse_unfinishable(upstream)
         while upstream.may_start(monotonic()):
             end_at = monotonic() + upstream.service_seconds
             request = upstream.queue.pop(end_at)
@@ -649,8 +675,7 @@
 def _wait_of(upstream: Upstream | None) -> float:
     if upstream is None:
         return 0.0
-    load = upstream.measure_load(monotonic(), upstream.queue.size)
-    return admission.estimate_wait(load)
+    return upstream.estimate_wait(upstream.queue.size, monotonic())
 
 
 def _statement_of(upstream: Upstream | None) -> UpstreamStatement | None:
--- a/packages/node/src/kumquathold_node/owner_requests.py
+++ b/packages/node/src/kumquathold_node/owner_requests.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from kumquathold_core import crash_tracker, fair_queue, smoothing
+from kumquathold_core import admission, crash_tracker, fair_queue, smoothing
 from kumquathold_core.admission import UpstreamLoad
 from kumquathold_core.failure_risk import FailureRiskEstimator
 from kumquathold_core.forwarding import ForwardRequest
@@ -28,6 +28,12 @@
 MIN_SERVICE_SHARE = 0.5
 """Share of the average service time that must remain to the deadline."""
 
+DRAIN_SERVICE_FACTOR = 2.0
+"""Multiple of the average service time for which a draining node has time.
+
+Requests differ in length, and one that has begun cannot go elsewhere.
+"""
+
 
 class OwnerRequest(msgspec.Struct, eq=False):
     """A request that this owner has received."""
@@ -200,6 +206,24 @@
             < self.limiter.estimate_wait(ahead, now) + needed
         ]
 
+    def find_unfinishable(
+        self, end_at: float, now: float
+    ) -> list[OwnerRequest]:
+        """Return the queued requests that may still run at `end_at`.
+
+        That is when a draining node ends, in seconds of the monotonic clock.
+        """
+        needed = self.service_seconds * DRAIN_SERVICE_FACTOR
+        return [
+            request
+            for ahead, request in enumerate(self.queue.items())
+            if now + self.estimate_wait(ahead, now) + needed > end_at
+        ]
+
+    def estimate_wait(self, ahead: int, now: float) -> float:
+        """Return the seconds until a request behind `ahead` others starts."""
+        return admission.estimate_wait(self.measure_load(now, ahead))
+
     def measure_load(self, now: float, ahead: int) -> UpstreamLoad:
         """Return the load that admission control is to judge by.
 
--- a/packages/node/src/kumquathold_node/shutdown.py
+++ b/packages/node/src/kumquathold_node/shutdown.py
@@ -1,11 +1,12 @@
 """Graceful shutdown: drains the node without cutting off a request.
 
 The node announces to the fleet that it leaves and refuses new requests for its
-upstreams. It goes on taking callers' requests, with `Connection: close` in each
-response, until none arrived for the idle period, and then stops listening. A
-request may still arrive on an open connection, so the node ends only once it
-has closed each connection while nothing was in flight there. Its rate groups
-are released meanwhile, for other nodes to take.
+upstreams. Queued ones that would still run as it ends are returned unrun. It
+goes on taking callers' requests, with `Connection: close` in each response,
+until none arrived for the idle period, and then stops listening. A request may
+still arrive on an open connection, so the node ends only once it has closed
+each connection while nothing was in flight there. Its rate groups are released
+meanwhile, for other nodes to take.
 
 In fields and refusals, `leaving` is the outer name for draining.
 """
@@ -74,7 +75,10 @@
         self.requested.wait()
         requested_at = self.requested_at
         logger.info('graceful shutdown started', grace=self.grace)
-        self.owner.task.post(DrainCommand())
+        end_at = requested_at + min(
+            MAX_DRAIN_SECONDS, self.grace * DRAIN_END_SHARE
+        )
+        self.owner.task.post(DrainCommand(end_at))
         self.membership.task.post(LeaveCommand())
         self.request_gate.drain(
             close_at=requested_at
@@ -86,9 +90,6 @@
             name='rate-hand-back',
             daemon=True,
         ).start()
-        end_at = requested_at + min(
-            MAX_DRAIN_SECONDS, self.grace * DRAIN_END_SHARE
-        )
         self._wait_for_idle_period(requested_at, end_at)
         self._wait_for_running(end_at)
         self.request_gate.close()
