Split the intake of requests from the owner, and the choice of peers from membership

What joins the chunks of a request is RequestIntake now. The four loops that returned queued requests of an upstream are one. No decision changes.

--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -19,6 +19,7 @@
 
 from kumquathold_core import gossip, member_table, peer_clock
 from kumquathold_core.peer_clock import PeerClockReading
+from kumquathold_core.peer_selection import PeerSelector
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.settings import Settings
@@ -34,9 +35,6 @@
 INDIRECT_TIMEOUT_SECONDS = 0.6
 """Further time for the indirect probes, after which the peer is suspected."""
 
-INDIRECT_HELPERS = 3
-"""Nodes that are asked to probe a peer that does not respond."""
-
 SYNC_BATCH_RECORDS = 32
 """Most records in one `SyncResponse`."""
 
@@ -49,18 +47,9 @@
 FAR_SYNC_INTERVAL_FACTOR = 4
 """Lengthens `SYNC_INTERVAL_SECONDS` for peers of other zones."""
 
-URGENT_FANOUT = 16
-"""Peers that an urgent update is sent to if `far_rounds` is 1."""
-
 NOTICE_ZONE_FANOUT = 3
 """Peers of the own zone that a version notice is sent to."""
 
-URGENT_FAR_FANOUT = 3
-"""Peers of other zones that get an urgent update if `far_rounds` is above 1.
-
-All peers of the own zone get it as well.
-"""
-
 DEAD_PING_SECONDS = 1.0
 """Interval of the heartbeats to a random dead node."""
 
@@ -155,16 +144,13 @@
         self.heartbeats: dict[int, Heartbeat] = {}
         self.clock_readings: dict[str, PeerClockReading] = {}
         self.clock_waiters: dict[str, list[Future[PeerClockReading]]] = {}
-        self.probe_queues: dict[bool, list[str]] = {True: [], False: []}
-        """Shuffled peers yet to probe; under `True`, those of other zones."""
-        self.round_count = 0
-        self.far_rounds = settings.far_rounds
         self.last_ping_number = 0
         self.seeds: tuple[str, ...] = ()
         self.last_sync_at = -SYNC_INTERVAL_SECONDS
         self.last_dead_ping_at = 0.0
         self.view_change_count = -1
         self.rng = random.Random(own.incarnation)
+        self.peers = PeerSelector(self.table, settings.far_rounds, self.rng)
         self.view = self._make_view()
         self.task = Task(
             'membership',
@@ -217,7 +203,7 @@
             logger.warning('node declared dead', peer=record.address)
         if len(self.table.members) == 1:
             self._sync_with_seed()
-        peer = self._take_probe_target()
+        peer = self.peers.take_probe_target()
         if peer is not None:
             self._ping(peer, now)
         if now - self.last_dead_ping_at >= DEAD_PING_SECONDS:
@@ -394,34 +380,6 @@
         if dead:
             self._ping(self.rng.choice(dead), now)
 
-    def _take_probe_target(self) -> str | None:
-        """Take the peer of this round; one of the own zone in most rounds."""
-        self.round_count += 1
-        is_far = self.round_count % self.far_rounds == 0
-        peer = self._pop_probe_target(is_far=is_far)
-        return peer or self._pop_probe_target(is_far=True)
-
-    def _pop_probe_target(self, *, is_far: bool) -> str | None:
-        queue = self.probe_queues[is_far]
-        if not queue:
-            queue.extend(self._list_peers(is_far=is_far))
-            self.rng.shuffle(queue)
-        return queue.pop() if queue else None
-
-    def _list_peers(self, *, is_far: bool) -> list[str]:
-        """List the peers of other zones, or those of the own zone.
-
-        With `far_rounds` 1, zones make no difference: lists all peers.
-        """
-        if self.far_rounds == 1:
-            return self.table.list_peers()
-        own_zone = self.table.own.zone
-        return [
-            peer
-            for peer in self.table.list_peers()
-            if (self.table.members[peer].record.zone != own_zone) == is_far
-        ]
-
     def _check_heartbeats(self, now: float) -> None:
         for number, heartbeat in list(self.heartbeats.items()):
             age = now - heartbeat.sent_at
@@ -435,12 +393,8 @@
                 self._request_indirect_pings(number, heartbeat.peer)
 
     def _request_indirect_pings(self, number: int, subject: str) -> None:
-        candidates = [one for one in self.table.list_peers() if one != subject]
-        helpers = self.rng.sample(
-            candidates, min(INDIRECT_HELPERS, len(candidates))
-        )
         request = gossip.IndirectPingRequest(number=number, subject=subject)
-        for helper in helpers:
+        for helper in self.peers.select_helpers(subject):
             self.transport.try_send(helper, request)
 
     def _sync_with_seed(self) -> None:
@@ -458,7 +412,7 @@
             self.last_sync_at = now
             return
         interval = SYNC_INTERVAL_SECONDS
-        if self.far_rounds > 1 and peer in self._list_peers(is_far=True):
+        if self.peers.is_far(peer):
             interval *= FAR_SYNC_INTERVAL_FACTOR
         if now - self.last_sync_at < interval:
             return
@@ -477,19 +431,10 @@
 
     def _gossip_now(self) -> None:
         self._refresh_view()
-        chosen = self._select_urgent_peers()
         now = monotonic()
-        for peer in chosen:
+        for peer in self.peers.select_urgent_peers():
             self._ping(peer, now)
 
-    def _select_urgent_peers(self) -> list[str]:
-        if self.far_rounds == 1:
-            peers = self.table.list_peers()
-            return self.rng.sample(peers, min(URGENT_FANOUT, len(peers)))
-        far = self._list_peers(is_far=True)
-        sampled = self.rng.sample(far, min(URGENT_FAR_FANOUT, len(far)))
-        return [*self._list_peers(is_far=False), *sampled]
-
     def _refresh_view(self) -> None:
         if self.view_change_count != self.table.change_count:
             self.view = self._make_view()
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -15,7 +15,6 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from loguru import logger
 
 from kumquathold_core import admission, forwarding, reassembly, wire
 from kumquathold_core.forwarding import Outcome, Refusal
@@ -38,6 +37,7 @@
     CallSucceededEvent,
     OwnerCalls,
 )
+from kumquathold_node.owner_intake import RequestIntake
 from kumquathold_node.owner_replies import OwnerReplies, make_failure
 from kumquathold_node.owner_requests import (
     CallFailures,
@@ -87,8 +87,9 @@
         self.claims: claims_service.ClaimsService = kernel.find('claims')
         self.metrics: Metrics = kernel.find('metrics')
         self.registry = RequestRegistry()
-        self.reassembler = reassembly.Reassembler()
-        self.incomplete: dict[RequestId, OwnerRequest] = {}
+        self.intake = RequestIntake(
+            self.metrics, self._admit, self._refuse_malformed
+        )
         self.roster = UpstreamRoster(
             kernel,
             dialect,
@@ -139,7 +140,7 @@
     @property
     def in_flight(self) -> int:
         """Number of requests that wait or run."""
-        return len(self.requests) + len(self.incomplete)
+        return len(self.requests) + len(self.intake.incomplete)
 
     def on_forward_request(
         self, envelope: Envelope[forwarding.ForwardRequest]
@@ -161,17 +162,7 @@
                 envelope.sender, message.request, known
             )
             return
-        self.incomplete[message.request] = request
-        self._reassemble(
-            message.request,
-            lambda: self.reassembler.announce(
-                message.request,
-                message.body_bytes,
-                message.body_digest,
-                message.body,
-                now,
-            ),
-        )
+        self.intake.begin(request)
 
     def on_request_chunk(
         self, envelope: Envelope[forwarding.RequestChunk]
@@ -181,19 +172,9 @@
         A chunk of a request that is complete or has been refused is ignored.
         """
         chunk = envelope.message
-        if chunk.request not in self.incomplete:
-            known = self.registry.entries.get(chunk.request)
-            if known is not None:
-                return
-        self._reassemble(
-            chunk.request,
-            lambda: self.reassembler.add_chunk(
-                chunk.request,
-                chunk.offset,
-                chunk.chunk,
-                monotonic(),
-            ),
-        )
+        is_incomplete = chunk.request in self.intake.incomplete
+        if is_incomplete or chunk.request not in self.registry.entries:
+            self.intake.add_chunk(chunk)
 
     def on_status_request(
         self, envelope: Envelope[forwarding.StatusRequest]
@@ -245,9 +226,8 @@
         if self._is_for_earlier_process(envelope.sender, message):
             return
         entry = self.registry.refuse_forever(message.request, monotonic())
-        incomplete = self.incomplete.pop(message.request, None)
+        incomplete = self.intake.cancel(message.request)
         if incomplete is not None:
-            self.reassembler.forget(message.request)
             self._fail(incomplete, Outcome.not_run, Refusal.cancelled)
             return
         request = self.requests.get(message.request)
@@ -296,9 +276,20 @@
         deregistered.reply.set_result((in_use, 0))
 
     def _refuse_queued(self, upstream: Upstream) -> None:
-        for request in upstream.queue.items():
+        self._return_queued(
+            upstream, upstream.queue.items(), Refusal.upstream_leaving
+        )
+
+    def _return_queued(
+        self,
+        upstream: Upstream,
+        waiting: list[OwnerRequest],
+        reason: Refusal,
+    ) -> None:
+        """Refuse some of an upstream's queued requests; others may run them."""
+        for request in waiting:
             upstream.queue.remove(request)
-            self._fail(request, Outcome.not_run, Refusal.upstream_leaving)
+            self._fail(request, Outcome.not_run, reason)
 
     def on_drain(self, command: DrainCommand) -> None:
         """Refuse new requests from now on; running ones continue.
@@ -308,7 +299,7 @@
         """
         self.drain_end_at = command.end_at
         for upstream in self.upstreams.values():
-            self._refuse_unfinishable(upstream)
+            self._start_queued(upstream)
 
     def on_claim_granted(
         self, granted: claims_service.ClaimGrantedEvent
@@ -433,26 +424,12 @@
         )
         self.roster.record_limit(upstream)
         if is_limited_anew:
-            self._refuse_unstartable(upstream)
+            unstartable = upstream.find_unstartable(monotonic())
+            self._return_queued(upstream, unstartable, Refusal.upstream_busy)
         if stated.is_leaving and not upstream.record.leaving:
             self.roster.record_leaving(upstream)
             self._refuse_queued(upstream)
 
-    def _refuse_unstartable(self, upstream: Upstream) -> None:
-        """Return what the stated limit makes too late; others may take it."""
-        for waiting in upstream.find_unstartable(monotonic()):
-            upstream.queue.remove(waiting)
-            self._fail(waiting, Outcome.not_run, Refusal.upstream_busy)
-
-    def _refuse_unfinishable(self, upstream: Upstream) -> None:
-        """Return what would still run as the draining node ends."""
-        if not self.is_draining:
-            return
-        end_at = self.drain_end_at
-        for waiting in upstream.find_unfinishable(end_at, monotonic()):
-            upstream.queue.remove(waiting)
-            self._fail(waiting, Outcome.not_run, Refusal.node_leaving)
-
     def on_outcome_stored(
         self, stored: claims_service.OutcomeStoredEvent
     ) -> None:
@@ -473,45 +450,20 @@
         Requests whose next chunk did not arrive in time are refused as well.
         """
         now = monotonic()
-        for request_id in self.reassembler.expire(now):
-            request = self.incomplete.pop(  # type: ignore[call-overload]
-                request_id, None
-            )
-            if request is not None:
-                self._fail(request, Outcome.not_run, Refusal.malformed)
+        self.intake.expire(now)
         self.registry.expire(now)
         for upstream in list(self.upstreams.values()):
-            for request in upstream.find_overdue(now):
-                upstream.queue.remove(request)
-                self._fail(request, Outcome.not_run, Refusal.overloaded)
-            self._refuse_unstartable(upstream)
+            overdue = upstream.find_overdue(now)
+            self._return_queued(upstream, overdue, Refusal.overloaded)
+            unstartable = upstream.find_unstartable(now)
+            self._return_queued(upstream, unstartable, Refusal.upstream_busy)
             self._start_queued(upstream)
             if owner_statements.is_limit_unconfirmed(upstream, now):
                 self.roster.withdraw_limit(upstream)
         self.roster.remove_expired(now)
 
-    def _reassemble(
-        self,
-        request_id: RequestId,
-        receive: reassembly.BodyReceiver,
-    ) -> None:
-        try:
-            body = receive()
-        except reassembly.ReassemblyError as error:
-            logger.warning(
-                'body refused', request=str(request_id), cause=str(error)
-            )
-            self.metrics.count('owner.bodies_refused')
-            body = None
-            request = self.incomplete.pop(request_id, None)
-            if request is not None:
-                self._fail(request, Outcome.not_run, Refusal.malformed)
-        if body is None:
-            return
-        request = self.incomplete.pop(request_id, None)
-        if request is not None:
-            request.body = body
-            self._admit(request)
+    def _refuse_malformed(self, request: OwnerRequest) -> None:
+        self._fail(request, Outcome.not_run, Refusal.malformed)
 
     def _admit(self, request: OwnerRequest) -> None:
         refusal = self._find_refusal(request)
@@ -571,7 +523,10 @@
         return key is None or key.workspace != message.workspace
 
     def _start_queued(self, upstream: Upstream) -> None:
-        self._refuse_unfinishable(upstream)
+        unfinishable = upstream.find_unfinishable(
+            self.drain_end_at, monotonic()
+        )
+        self._return_queued(upstream, unfinishable, Refusal.node_leaving)
         while upstream.may_start(monotonic()):
             end_at = monotonic() + upstream.service_seconds
             request = upstream.queue.pop(end_at)
--- a/packages/node/src/kumquathold_node/owner_requests.py
+++ b/packages/node/src/kumquathold_node/owner_requests.py
@@ -211,8 +211,11 @@
     ) -> list[OwnerRequest]:
         """Return the queued requests that may still run at `end_at`.
 
-        That is when a draining node ends, in seconds of the monotonic clock.
+        That is when a draining node ends, in seconds of the monotonic clock;
+        it is infinite while the node does not drain.
         """
+        if math.isinf(end_at):
+            return []
         needed = self.service_seconds * DRAIN_SERVICE_FACTOR
         return [
             request
--- a/tests/support.py
+++ b/tests/support.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from kumquathold_core.identity import NodeRecord, UpstreamRecord
 from kumquathold_core.rules import digest_key
 from kumquathold_standins.fleet import Spec, Vm, six_zones
 
@@ -55,3 +56,23 @@
     """Specify six nodes in six zones of three regions, with two services."""
     vms = six_zones('listings', 'holds')
     return Spec(vms=vms, **changes)  # type: ignore[arg-type]
+
+
+def make_node_record(
+    address: str,
+    zone: str = 'a',
+    incarnation: int = 1,
+    upstreams: tuple[UpstreamRecord, ...] = (),
+) -> NodeRecord:
+    """Make the record of a node that does not drain."""
+    return NodeRecord(
+        address=address,
+        incarnation=incarnation,
+        version=1,
+        zone=zone,
+        region='r',
+        admin='',
+        leaving=False,
+        upstreams=upstreams,
+        rate_groups=(),
+    )
