Keep in mind across restarts which upstreams have left

Operators' report: after a restart of one process, a server that had left was in use again. It happened here: an upstream announced its leaving, its owner was killed and started again, and an announcement that came late listed it as ready.

Cause: only the owner's memory said that this process of the upstream leaves, and its record starts anew with it.

Each node's member table now keeps, by lifetime, the upstreams that were announced as leaving, and no later record of an owner takes that back. A node that joins is sent the record of its earlier process, and its owner learns from it which upstreams had left. Not covered: an owner whose new record reached all peers before its request for their tables did; its own callers may then use it.

--- a/packages/core/src/kumquathold_core/member_table.py
+++ b/packages/core/src/kumquathold_core/member_table.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from kumquathold_core.departures import DepartureTable
 from kumquathold_core.gossip import MemberState, MemberUpdate
 from kumquathold_core.identity import NodeRecord
 
@@ -61,6 +62,7 @@
         """
         self.own = own
         self.members: dict[str, Member] = {}
+        self.departures = DepartureTable()
         self.transmit_counts: dict[str, int] = {}
         """How often each update still to be gossiped was sent, by address."""
         self.change_count = 0
@@ -71,9 +73,12 @@
         self._put(Member(own, MemberState.alive, now))
 
     def list_live_records(self) -> list[NodeRecord]:
-        """List the records of all nodes that are not dead."""
+        """List the records of all nodes that are not dead.
+
+        An upstream that has left is leaving in them, whatever its node says.
+        """
         return [
-            member.record
+            self.departures.apply(member.record)
             for member in self.members.values()
             if member.state != MemberState.dead
         ]
@@ -228,6 +233,7 @@
 
     def _put(self, member: Member) -> None:
         address = member.record.address
+        self.departures.record(member.record)
         record_hash = _hash_member(member)
         self.digest ^= self.record_hashes.get(address, 0) ^ record_hash
         self.record_hashes[address] = record_hash
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -68,6 +68,13 @@
     """All groups that are held now."""
 
 
+class EarlierRecordEvent(msgspec.Struct, frozen=True):
+    """A peer has sent the record of an earlier process of this node."""
+
+    record: NodeRecord
+    """That record."""
+
+
 class LeaveCommand(msgspec.Struct, frozen=True):
     """Publish that this node drains and takes no new requests."""
 
@@ -138,6 +145,7 @@
         settings: Settings,
     ) -> None:
         """Look up the services that it uses, and register itself."""
+        self.kernel = kernel
         self.transport: Transport = kernel.find('transport')
         self.freshness: FreshnessService = kernel.find('freshness')
         self.table = member_table.MemberTable(own, monotonic())
@@ -292,11 +300,14 @@
         self.heartbeats.pop(envelope.message.number, None)
 
     def on_sync_request(self, envelope: Envelope[gossip.SyncRequest]) -> None:
-        """Send the records that the requester lacks, in batches."""
-        self._merge(envelope.message.updates)
+        """Send the records that the requester lacks, in batches.
+
+        A node that has restarted also gets the record of its earlier process.
+        """
         updates = self.table.list_missing_updates(
             envelope.message.record_hashes
         )
+        self._merge(envelope.message.updates)
         for start in range(0, len(updates), SYNC_BATCH_RECORDS):
             batch = tuple(updates[start : start + SYNC_BATCH_RECORDS])
             message = gossip.SyncResponse(updates=batch)
@@ -422,6 +433,7 @@
     def _merge(self, updates: tuple[gossip.MemberUpdate, ...]) -> None:
         now = monotonic()
         for update in updates:
+            self._check_earlier_record(update.record)
             self.table.merge(update, now)
         incarnation = self.table.own.incarnation
         if incarnation != self.transport.incarnation:
@@ -429,6 +441,12 @@
             self.transport.incarnation = incarnation
         self._refresh_view()
 
+    def _check_earlier_record(self, record: NodeRecord) -> None:
+        own = self.table.own
+        is_own = record.address == own.address
+        if is_own and record.incarnation != own.incarnation:
+            self.kernel.find('owner').task.post(EarlierRecordEvent(record))
+
     def _gossip_now(self) -> None:
         self._refresh_view()
         now = monotonic()
--- a/packages/node/src/kumquathold_node/upstream_roster.py
+++ b/packages/node/src/kumquathold_node/upstream_roster.py
@@ -12,8 +12,9 @@
 import msgspec
 from loguru import logger
 
+from kumquathold_core import departures
 from kumquathold_core.announcement_tracker import AnnouncementTracker
-from kumquathold_core.identity import UpstreamRecord
+from kumquathold_core.identity import NodeRecord, UpstreamRecord
 from kumquathold_node.announcements import AnnouncedEvent, DeregisteredEvent
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.kernel import Kernel
@@ -96,6 +97,23 @@
             self._set_leaving('upstream deregistered', upstream)
         return upstream
 
+    def record_departures(self, earlier: NodeRecord) -> list[Upstream]:
+        """Record which upstreams an earlier process of this node saw leave.
+
+        Returns those that have announced themselves as ready since then.
+        """
+        found = []
+        for left in departures.list_leaving(earlier):
+            self.announcement_tracker.record_deregistration(
+                left.name, left.lifetime
+            )
+            upstream = self.upstreams.get(left.name)
+            is_same = upstream and upstream.record.lifetime == left.lifetime
+            if upstream and is_same and not upstream.record.leaving:
+                self._set_leaving('upstream had left', upstream)
+                found.append(upstream)
+        return found
+
     def record_leaving(self, upstream: Upstream) -> None:
         """Mark an upstream as leaving that stated so in a response.
 
