--- a/packages/core/src/kumquathold_core/admission.py
+++ b/packages/core/src/kumquathold_core/admission.py
@@ -61,6 +61,11 @@
     return max(slot_wait, load.start_wait)
 
 
+def estimate_seconds_needed(load: UpstreamLoad) -> float:
+    """Return the time to its deadline that a new request must have."""
+    return estimate_wait(load) + load.service_seconds / 2
+
+
 def find_refusal(
     load: UpstreamLoad,
     *,
@@ -78,9 +83,8 @@
     is_trial = idempotent and load.is_trial_due
     if load.risk > max_risk and not is_trial:
         return Refusal.upstream_suspect
-    wait = estimate_wait(load)
-    if wait > max_wait:
+    if estimate_wait(load) > max_wait:
         return Refusal.upstream_busy
-    if wait + load.service_seconds / 2 > seconds_left:
+    if estimate_seconds_needed(load) > seconds_left:
         return Refusal.overloaded
     return None
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -492,7 +492,12 @@
             max_risk=message.max_risk,
         )
         if refusal is not None:
-            self._fail(request, Outcome.not_run, refusal)
+            self._fail(
+                request,
+                Outcome.not_run,
+                refusal,
+                seconds_needed=admission.estimate_seconds_needed(load),
+            )
             return
         if not self.retry_limits.admit(upstream, message):
             self._fail(request, Outcome.not_run, Refusal.retry_budget)
@@ -606,6 +611,7 @@
         reason: Refusal,
         *,
         crashed: bool = False,
+        seconds_needed: float = 0.0,
     ) -> None:
         self.metrics.count(f'owner.refused.{reason.value}')
         self.requests.pop(request.request_id, None)
@@ -618,6 +624,7 @@
             risk=_risk_of(upstream),
             wait=_wait_of(upstream),
             statement=_statement_of(upstream),
+            seconds_needed=seconds_needed,
         )
         self.registry.store_failure(failure)
         self.transport.try_send(request.reply_to, failure)
