Split what selections hold from the balancer, and build the owner's replies in one place

The plain data that ingress and balancer pass to each other is in selections now. The load of an upstream was added to responses and to failures by the same four lines; owner_replies builds both and adds it once. No decision changes.

--- a/packages/node/src/kumquathold_node/attempts.py
+++ b/packages/node/src/kumquathold_node/attempts.py
@@ -21,7 +21,7 @@
 from kumquathold_core.retries import AttemptFailure
 from kumquathold_core.rules import Route, Service, Workspace
 from kumquathold_node import caller_requests
-from kumquathold_node.balancer import Balancer, OwnerReport, Selection
+from kumquathold_node.balancer import Balancer
 from kumquathold_node.caller_requests import CallerRequest, CallerResponse
 from kumquathold_node.configuration import Configuration
 from kumquathold_node.kernel import Kernel
@@ -32,6 +32,7 @@
     PendingRequests,
     ResponseEvent,
 )
+from kumquathold_node.selections import OwnerReport, Selection
 from kumquathold_node.transport import LinkFull, Transport
 from kumquathold_node.upstream_calls import OUTCOME_HEADER, PUBLIC_WORKSPACE
 
--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -12,7 +12,6 @@
 import threading
 from time import monotonic
 
-import msgspec
 from loguru import logger
 
 from kumquathold_core import placement
@@ -25,10 +24,16 @@
 from kumquathold_core.rules import Service
 from kumquathold_core.smoothing import RouteAverages
 from kumquathold_core.statement_table import StatementTable
-from kumquathold_core.upstream_statements import UpstreamStatement
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import FleetView, Membership
 from kumquathold_node.metrics import Metrics
+from kumquathold_node.selections import (
+    OwnerReport,
+    Selection,
+    SelectionRequest,
+    ServiceView,
+    group_by_service,
+)
 from kumquathold_node.settings import Settings
 
 EXCLUSION_SECONDS = 3.0
@@ -52,91 +57,6 @@
 """Refusals by upstreams that accept no requests any more."""
 
 
-class Selection(msgspec.Struct, frozen=True):
-    """The upstream selected for one attempt."""
-
-    candidate: Candidate
-    """The upstream and its owner."""
-
-    is_trial: bool
-    """Whether the upstream is ejected and gets this as a trial request."""
-
-    max_wait: float
-    """Seconds of wait for a slot above which the owner returns the request."""
-
-    max_risk: float
-    """Risk of failure above which the owner returns the request."""
-
-    slow_limit: float
-    """Seconds above which a response counts as a bad outcome."""
-
-    rank: int = 0
-    """Priority of the request, 0 first."""
-
-    statement: UpstreamStatement | None = None
-    """The latest statement of the upstream that this node knows."""
-
-
-class OwnerReport(msgspec.Struct, frozen=True):
-    """Load of an upstream, as its owner reported it with a response."""
-
-    backlog: int
-    """Requests running or queued at the upstream."""
-
-    risk: float
-    """Owner's estimate of the chance that the next request fails."""
-
-    wait: float = 0.0
-    """Seconds until the owner expects to start a further request."""
-
-    statement: UpstreamStatement | None = None
-    """What the upstream states about itself, if the owner knows."""
-
-    seconds_needed: float = 0.0
-    """Time that a request refused for want of time would have needed."""
-
-
-class SelectionRequest(msgspec.Struct):
-    """The properties of a request by which its upstream is selected."""
-
-    service: Service
-    """The service that the request is for."""
-
-    route: str
-    """Name of the route."""
-
-    idempotent: bool
-    """Whether the request can safely run more than once."""
-
-    caller_id: str
-    """Request id given by the caller, for logs."""
-
-    objective: float
-    """Latency objective, in seconds."""
-
-    rank: int = 0
-    """Priority of the request, 0 first."""
-
-    may_send_trial: bool = False
-    """Whether a retry is left on failure, so that it may be a trial request."""
-
-    tried: set[str] = msgspec.field(default_factory=set)
-    """Upstreams that earlier attempts may have reached."""
-
-    refused_by: list[str] = msgspec.field(default_factory=list)
-    """Upstreams whose owners returned the request without running it."""
-
-
-class ServiceView(msgspec.Struct, frozen=True):
-    """The upstreams of one service that accept requests."""
-
-    candidates: tuple[Candidate, ...]
-    """The ready upstreams that do not drain and whose nodes do not drain."""
-
-    slots: dict[str, int]
-    """Number of slots, by upstream."""
-
-
 class Balancer:
     """Selects upstreams for the requests of this node's ingress."""
 
@@ -585,32 +505,6 @@
         self.metrics.count('ingress.reinstatements', len(before - ejected))
 
 
-def group_by_service(view: FleetView) -> dict[str, ServiceView]:
-    """Return the upstreams that accept requests, by service."""
-    found: dict[str, list[Candidate]] = {}
-    for node in view.nodes:
-        for upstream in node.upstreams:
-            if node.leaving or upstream.leaving or not upstream.ready:
-                continue
-            candidate = Candidate(
-                upstream=upstream.name,
-                owner=node.address,
-                zone=node.zone,
-                region=node.region,
-                slots=upstream.slots,
-                lifetime=upstream.lifetime,
-                limit=upstream.limit,
-            )
-            found.setdefault(upstream.service, []).append(candidate)
-    return {
-        name: ServiceView(
-            candidates=tuple(candidates),
-            slots={one.upstream: one.slots for one in candidates},
-        )
-        for name, candidates in found.items()
-    }
-
-
 def _is_final(
     chosen: Candidate,
     usable: list[Candidate],
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -30,7 +30,7 @@
 )
 from kumquathold_node import caller_requests
 from kumquathold_node.attempts import AdmittedRequest, Attempt, AttemptContext
-from kumquathold_node.balancer import Balancer, Selection, SelectionRequest
+from kumquathold_node.balancer import Balancer
 from kumquathold_node.caller_requests import (
     CallerRequest,
     CallerResponse,
@@ -48,6 +48,7 @@
     RateClient,
     TokenRefusal,
 )
+from kumquathold_node.selections import Selection, SelectionRequest
 from kumquathold_node.settings import Settings
 
 REROUTED_REFUSALS = frozenset((Refusal.upstream_busy, Refusal.upstream_suspect))
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -16,12 +16,13 @@
 
 import msgspec
 
-from kumquathold_core import admission, forwarding, reassembly, wire
+from kumquathold_core import admission, forwarding
 from kumquathold_core.forwarding import Outcome, Refusal
 from kumquathold_core.request_registry import RequestRegistry
 from kumquathold_node import (
     claims_service,
     owner_outcomes,
+    owner_replies,
     owner_statements,
 )
 from kumquathold_node.announcements import AnnouncedEvent, DeregisteredEvent
@@ -38,7 +39,7 @@
     OwnerCalls,
 )
 from kumquathold_node.owner_intake import RequestIntake
-from kumquathold_node.owner_replies import OwnerReplies, make_failure
+from kumquathold_node.owner_replies import OwnerReplies
 from kumquathold_node.owner_requests import (
     CallFailures,
     OwnerRequest,
@@ -53,7 +54,6 @@
 
 if TYPE_CHECKING:
     from kumquathold_core.identity import RequestId
-    from kumquathold_core.upstream_statements import UpstreamStatement
     from kumquathold_core.wire import Envelope
 
 TICK_SECONDS = 0.25
@@ -208,7 +208,7 @@
         """
         if message.owner_incarnation == self.transport.incarnation:
             return False
-        failure = make_failure(
+        failure = owner_replies.make_failure(
             message.request,
             Outcome.unknown,
             Refusal.owner_restarted,
@@ -583,22 +583,11 @@
         *,
         replayed: bool,
     ) -> None:
-        upstream = self.upstreams.get(request.message.upstream)
-        first, _ = reassembly.split_body(result.body)
-        response = forwarding.ForwardResponse(
-            request=request.request_id,
-            status=result.status,
-            headers=result.headers,
-            service_seconds=result.seconds,
-            queued_seconds=request.started_at - request.queued_at,
-            backlog=_backlog_of(upstream),
-            risk=_risk_of(upstream),
-            wait=_wait_of(upstream),
-            statement=_statement_of(upstream),
+        response = owner_replies.make_response(
+            request,
+            result,
+            self.upstreams.get(request.message.upstream),
             replayed=replayed,
-            body_bytes=len(result.body),
-            body_digest=wire.digest_body(result.body),
-            body=first,
         )
         self.requests.pop(request.request_id, None)
         self.registry.store_response(response, result.body)
@@ -618,35 +607,13 @@
         upstream = self.upstreams.get(request.message.upstream)
         if upstream is not None:
             owner_outcomes.end_trial(upstream, request)
-        failure = msgspec.structs.replace(
-            make_failure(request.request_id, outcome, reason, crashed=crashed),
-            backlog=_backlog_of(upstream),
-            risk=_risk_of(upstream),
-            wait=_wait_of(upstream),
-            statement=_statement_of(upstream),
+        failure = owner_replies.make_failure(
+            request.request_id,
+            outcome,
+            reason,
+            upstream,
+            crashed=crashed,
             seconds_needed=seconds_needed,
         )
         self.registry.store_failure(failure)
         self.transport.try_send(request.reply_to, failure)
-
-
-def _backlog_of(upstream: Upstream | None) -> int:
-    if upstream is None:
-        return 0
-    return upstream.in_use + upstream.queue.size
-
-
-def _risk_of(upstream: Upstream | None) -> float:
-    return upstream.failure_risk.estimate_risk(monotonic()) if upstream else 0.0
-
-
-def _wait_of(upstream: Upstream | None) -> float:
-    if upstream is None:
-        return 0.0
-    return upstream.estimate_wait(upstream.queue.size, monotonic())
-
-
-def _statement_of(upstream: Upstream | None) -> UpstreamStatement | None:
-    if upstream is None or upstream.known_statement is None:
-        return None
-    return upstream.known_statement.statement
--- a/packages/node/src/kumquathold_node/owner_replies.py
+++ b/packages/node/src/kumquathold_node/owner_replies.py
@@ -3,14 +3,21 @@
 from __future__ import annotations
 
 from concurrent.futures import ThreadPoolExecutor
+from time import monotonic
+from typing import TypeVar
 
-from kumquathold_core import forwarding, reassembly
+import msgspec
+
+from kumquathold_core import forwarding, reassembly, wire
 from kumquathold_core.forwarding import Outcome, Refusal
 from kumquathold_core.identity import RequestId
 from kumquathold_core.request_registry import RequestEntry, RequestState
 from kumquathold_node.metrics import Metrics
-from kumquathold_node.owner_requests import OwnerRequest
+from kumquathold_node.owner_requests import OwnerRequest, Upstream
 from kumquathold_node.transport import LinkFull, Transport
+from kumquathold_node.upstream_responses import UpstreamResponse
+
+Reply = TypeVar('Reply', forwarding.ForwardResponse, forwarding.FailureResponse)
 
 OVERLOAD_RETRY_SECONDS = 1.0
 
@@ -103,22 +110,66 @@
     return make_failure(request_id, Outcome.ran, Refusal.answer_not_kept)
 
 
+def make_response(
+    request: OwnerRequest,
+    result: UpstreamResponse,
+    upstream: Upstream | None,
+    *,
+    replayed: bool,
+) -> forwarding.ForwardResponse:
+    """Build the message with a response, and the load of its upstream."""
+    first, _ = reassembly.split_body(result.body)
+    response = forwarding.ForwardResponse(
+        request=request.request_id,
+        status=result.status,
+        headers=result.headers,
+        service_seconds=result.seconds,
+        queued_seconds=request.started_at - request.queued_at,
+        backlog=0,
+        risk=0.0,
+        replayed=replayed,
+        body_bytes=len(result.body),
+        body_digest=wire.digest_body(result.body),
+        body=first,
+    )
+    return _add_load(response, upstream)
+
+
 def make_failure(
     request_id: RequestId,
     outcome: Outcome,
     reason: Refusal,
+    upstream: Upstream | None = None,
     *,
     crashed: bool = False,
+    seconds_needed: float = 0.0,
 ) -> forwarding.FailureResponse:
     """Build the message that a request got no response.
 
-    An overload sets `retry_after` to `OVERLOAD_RETRY_SECONDS`.
+    It tells the load of `upstream`. An overload sets `retry_after` to
+    `OVERLOAD_RETRY_SECONDS`.
     """
     is_overload = reason in {Refusal.overloaded, Refusal.upstream_shed}
-    return forwarding.FailureResponse(
+    failure = forwarding.FailureResponse(
         request=request_id,
         outcome=outcome,
         reason=reason,
         retry_after=OVERLOAD_RETRY_SECONDS if is_overload else 0,
         crashed=crashed,
+        seconds_needed=seconds_needed,
+    )
+    return _add_load(failure, upstream)
+
+
+def _add_load(reply: Reply, upstream: Upstream | None) -> Reply:
+    if upstream is None:
+        return reply
+    now = monotonic()
+    known = upstream.known_statement
+    return msgspec.structs.replace(
+        reply,
+        backlog=upstream.in_use + upstream.queue.size,
+        risk=upstream.failure_risk.estimate_risk(now),
+        wait=upstream.estimate_wait(upstream.queue.size, now),
+        statement=known.statement if known else None,
     )
