Take back the refusal of what all owners have no time for

The played load of its test had one ingress with 40 requests a second. On the users' deployments an ingress sends about one a second to a service, and has heard of too few owners within a second to know anything.

--- a/packages/core/src/kumquathold_core/admission.py
+++ b/packages/core/src/kumquathold_core/admission.py
@@ -61,11 +61,6 @@
     return max(slot_wait, load.start_wait)
 
 
-def estimate_seconds_needed(load: UpstreamLoad) -> float:
-    """Return the time to its deadline that a new request must have."""
-    return estimate_wait(load) + load.service_seconds / 2
-
-
 def find_refusal(
     load: UpstreamLoad,
     *,
@@ -83,8 +78,9 @@
     is_trial = idempotent and load.is_trial_due
     if load.risk > max_risk and not is_trial:
         return Refusal.upstream_suspect
-    if estimate_wait(load) > max_wait:
+    wait = estimate_wait(load)
+    if wait > max_wait:
         return Refusal.upstream_busy
-    if estimate_seconds_needed(load) > seconds_left:
+    if wait + load.service_seconds / 2 > seconds_left:
         return Refusal.overloaded
     return None
--- a/packages/core/src/kumquathold_core/forwarding.py
+++ b/packages/core/src/kumquathold_core/forwarding.py
@@ -251,12 +251,6 @@
     statement: UpstreamStatement | None = None
     """What the upstream states about itself, if the owner knows."""
 
-    seconds_needed: float = 0.0
-    """Time to its deadline that the refused request would have needed.
-
-    It is 0 if the request was not refused for want of time.
-    """
-
 
 class StatusRequest(
     msgspec.Struct, frozen=True, array_like=True, tag='inquiry'
--- a/packages/core/src/kumquathold_core/retries.py
+++ b/packages/core/src/kumquathold_core/retries.py
@@ -133,9 +133,6 @@
     retry_after: float = 0.0
     """Seconds to wait before the next attempt."""
 
-    is_final: bool = False
-    """Whether all upstreams are known to refuse the request."""
-
 
 def may_have_arrived(failure: AttemptFailure) -> bool:
     """Return whether the request may have reached an upstream."""
@@ -147,7 +144,7 @@
     failure: AttemptFailure, *, idempotent: bool, claimed: bool
 ) -> bool:
     """Return whether another attempt is safe."""
-    if failure.is_final or failure.reason in FINAL_REFUSALS:
+    if failure.reason in FINAL_REFUSALS:
         return False
     return failure.outcome == Outcome.not_run or idempotent or claimed
 
--- a/packages/node/src/kumquathold_node/attempts.py
+++ b/packages/node/src/kumquathold_node/attempts.py
@@ -414,11 +414,7 @@
 
     def _on_failure(self, event: forwarding.FailureResponse) -> AttemptFailure:
         balancer = self.context.balancer
-        report = _report_of(event)
-        report = msgspec.structs.replace(
-            report, seconds_needed=event.seconds_needed
-        )
-        balancer.record_refusal(self.selection, event.reason, report)
+        balancer.record_refusal(self.selection, event.reason, _report_of(event))
         is_gray = event.reason in {
             Refusal.upstream_failed,
             Refusal.upstream_unreachable,
--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -19,7 +19,6 @@
 from kumquathold_core.ejection import OutcomeSample, OutlierDetector
 from kumquathold_core.failure_risk import SUSPECT_RISK
 from kumquathold_core.forwarding import Refusal
-from kumquathold_core.overload_table import OverloadTable
 from kumquathold_core.placement import LoadEstimate, PlacementRequest
 from kumquathold_core.rules import Service
 from kumquathold_core.smoothing import RouteAverages
@@ -70,7 +69,6 @@
         self.rng = random.Random(settings.peer)
         self.loads: dict[str, LoadEstimate] = {}
         self.statements = StatementTable()
-        self.overloads = OverloadTable()
         self.sizes = RouteAverages(DEFAULT_KILOBYTES)
         self.durations = RouteAverages(placement.DEFAULT_SERVICE_SECONDS)
         self.explore_share = settings.explore_share
@@ -145,34 +143,11 @@
                 slow_limit=detector.slow_limit(
                     selection_request.route, chosen.upstream
                 ),
-                rank=selection_request.rank,
                 statement=self.statements.find(
                     chosen.upstream, chosen.lifetime
                 ),
             )
 
-    def is_hopeless(
-        self, selection_request: SelectionRequest, deadline: float
-    ) -> bool:
-        """Whether all usable upstreams are known to have no time for a request.
-
-        `deadline` is in seconds of the monotonic clock.
-        """
-        now = monotonic()
-        with self.lock:
-            self._update_services(self.membership.view)
-            view = self.services.get(selection_request.service.name)
-            if view is None:
-                return False
-            usable = [
-                one.upstream
-                for one in view.candidates
-                if not self._is_excluded(one, now)
-            ]
-            return self.overloads.is_hopeless(
-                usable, selection_request.rank, deadline - now, now
-            )
-
     def finish(self, selection: Selection) -> None:
         """Count the request of a selection as no longer in flight."""
         with self.lock:
@@ -278,13 +253,6 @@
         candidate = selection.candidate
         with self.lock:
             self._record_report(candidate.upstream, report, now)
-            if report.seconds_needed:
-                self.overloads.record(
-                    candidate.upstream,
-                    selection.rank,
-                    report.seconds_needed,
-                    now,
-                )
             if reason in DEPARTURE_REFUSALS:
                 self.excluded_upstreams[candidate.upstream] = (
                     now + EXCLUSION_SECONDS
@@ -386,7 +354,6 @@
             for service in self.services.values()
             for upstream in service.slots
         }
-        self.overloads.retain(present)
         for upstream in set(self.loads) - present:
             if self.loads[upstream].in_flight <= 0:
                 self.loads.pop(upstream)
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -41,7 +41,6 @@
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.metrics import Metrics
-from kumquathold_node.owner_replies import OVERLOAD_RETRY_SECONDS
 from kumquathold_node.owner_requests import CallFailures
 from kumquathold_node.rate_client import (
     AcquireCommand,
@@ -268,7 +267,6 @@
             caller_id=admitted.request.id,
             idempotent=admitted.route.idempotent,
             objective=admitted.route.objective or DEFAULT_OBJECTIVE_SECONDS,
-            rank=admitted.rank,
         )
         history = AttemptHistory(
             selection_request=selection_request, outcomes=[]
@@ -397,14 +395,6 @@
         history: AttemptHistory,
     ) -> CallerResponse | AttemptFailure:
         selection_request = history.selection_request
-        if self.balancer.is_hopeless(selection_request, admitted.deadline):
-            self.metrics.count('ingress.refused_unsent')
-            return AttemptFailure(
-                Outcome.not_run,
-                Refusal.overloaded,
-                retry_after=OVERLOAD_RETRY_SECONDS,
-                is_final=True,
-            )
         selection_request.may_send_trial = self._may_send_trial(
             selection_request.service.name
         )
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -492,12 +492,7 @@
             max_risk=message.max_risk,
         )
         if refusal is not None:
-            self._fail(
-                request,
-                Outcome.not_run,
-                refusal,
-                seconds_needed=admission.estimate_seconds_needed(load),
-            )
+            self._fail(request, Outcome.not_run, refusal)
             return
         if not self.retry_limits.admit(upstream, message):
             self._fail(request, Outcome.not_run, Refusal.retry_budget)
@@ -600,7 +595,6 @@
         reason: Refusal,
         *,
         crashed: bool = False,
-        seconds_needed: float = 0.0,
     ) -> None:
         self.metrics.count(f'owner.refused.{reason.value}')
         self.requests.pop(request.request_id, None)
@@ -613,7 +607,6 @@
             reason,
             upstream,
             crashed=crashed,
-            seconds_needed=seconds_needed,
         )
         self.registry.store_failure(failure)
         self.transport.try_send(request.reply_to, failure)
--- a/packages/node/src/kumquathold_node/owner_replies.py
+++ b/packages/node/src/kumquathold_node/owner_replies.py
@@ -142,7 +142,6 @@
     upstream: Upstream | None = None,
     *,
     crashed: bool = False,
-    seconds_needed: float = 0.0,
 ) -> forwarding.FailureResponse:
     """Build the message that a request got no response.
 
@@ -156,7 +155,6 @@
         reason=reason,
         retry_after=OVERLOAD_RETRY_SECONDS if is_overload else 0,
         crashed=crashed,
-        seconds_needed=seconds_needed,
     )
     return _add_load(failure, upstream)
 
--- a/packages/node/src/kumquathold_node/selections.py
+++ b/packages/node/src/kumquathold_node/selections.py
@@ -28,9 +28,6 @@
     slow_limit: float
     """Seconds above which a response counts as a bad outcome."""
 
-    rank: int = 0
-    """Priority of the request, 0 first."""
-
     statement: UpstreamStatement | None = None
     """The latest statement of the upstream that this node knows."""
 
@@ -50,9 +47,6 @@
     statement: UpstreamStatement | None = None
     """What the upstream states about itself, if the owner knows."""
 
-    seconds_needed: float = 0.0
-    """Time that a request refused for want of time would have needed."""
-
 
 class SelectionRequest(msgspec.Struct):
     """The properties of a request by which its upstream is selected."""
@@ -72,9 +66,6 @@
     objective: float
     """Latency objective, in seconds."""
 
-    rank: int = 0
-    """Priority of the request, 0 first."""
-
     may_send_trial: bool = False
     """Whether a retry is left on failure, so that it may be a trial request."""
 
