--- a/packages/core/src/kumquathold_core/upstream_statements.py
+++ b/packages/core/src/kumquathold_core/upstream_statements.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-UNTOLD_LIFETIME_SECONDS = 10.0
+LEAVING_VALID_SECONDS = 10.0
 """Time for which a leaving counts if the process does not tell its lifetime.
 
 A process that follows at the same address looks the same then.
@@ -45,9 +45,9 @@
 
     def is_leaving_at(self, now: float) -> bool:
         """Whether the process that stated its leaving is the present one."""
-        is_recent = now - self.received_at < UNTOLD_LIFETIME_SECONDS
-        is_told = self.statement.lifetime > 0
-        return self.statement.is_leaving and (is_told or is_recent)
+        is_recent = now - self.received_at < LEAVING_VALID_SECONDS
+        has_lifetime = self.statement.lifetime > 0
+        return self.statement.is_leaving and (has_lifetime or is_recent)
 
 
 def merge_statements(
--- a/tests/test_start_limiter.py
+++ b/tests/test_start_limiter.py
@@ -16,7 +16,7 @@
 from kumquathold_core.start_limiter import MIN_STARTS_PER_SECOND, StartLimiter
 from kumquathold_core.statement_table import StatementTable
 from kumquathold_core.upstream_statements import (
-    UNTOLD_LIFETIME_SECONDS,
+    LEAVING_VALID_SECONDS,
     InvalidLimit,
     UpstreamStatement,
     parse_limit,
@@ -176,7 +176,7 @@
 
     def test_leaving_without_a_lifetime_holds_for_a_while(self) -> None:
         self.table.record('u', UpstreamStatement(0, None, True), 0.0)
-        end = UNTOLD_LIFETIME_SECONDS
+        end = LEAVING_VALID_SECONDS
         self.assertTrue(self.table.is_leaving('u', 0, end - 1))
         self.assertFalse(self.table.is_leaving('u', 0, end + 1))
 
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -188,7 +188,7 @@
                 time.sleep(WITHDRAWAL_SECONDS)
             self.check_none_since(fleet, upstream, checked_from)
 
-    def test_restarted_owner_that_is_told_ready(self) -> None:
+    def test_restarted_owner_that_has_lifetime_ready(self) -> None:
         with fleet_with_one_upstream() as (fleet, owner, upstream):
             self.state_leaving(fleet, upstream)
             restart(owner)
