Store the outcome of a once-only request though the store read from the past

The caller had its 200, but the outcome was not stored: a repeat would have been told for a week that the request is in progress.

Cause: the store lost a reply or failed a transaction while its reads came from an older state, in which the claim did not exist. The node took its absence for a change by another writer and gave the outcome up. What was read at a revision before the claim says nothing of it; the write is tried again, and deferred if that lasts.

--- a/packages/node/src/kumquathold_node/claims_service.py
+++ b/packages/node/src/kumquathold_node/claims_service.py
@@ -268,7 +268,7 @@
             for pending in group:
                 self._complete(pending, swap.revision)
             return []
-        return self._reconcile(group, swap.found)
+        return self._reconcile(group, swap.found, swap.revision)
 
     def _swap(self, group: list[PendingWrite]) -> SwapResult:
         lease = self._get_shared_lease()
@@ -297,30 +297,37 @@
         return self.lease
 
     def _read_back(self, group: list[PendingWrite]) -> list[PendingWrite]:
-        found: list[StoredValue] = []
         try:
-            for pending in group:
-                found.extend(self.store.read(pending.key).found)
+            reads = [self.store.read(pending.key) for pending in group]
         except StoreError:
             self.suspended_until = monotonic() + STORE_BACKOFF_SECONDS
             for pending in group:
                 self._give_up(pending)
             return []
-        return self._reconcile(group, tuple(found))
+        found = [stored for read in reads for stored in read.found]
+        revision = min(read.revision for read in reads)
+        return self._reconcile(group, tuple(found), revision)
 
     def _reconcile(
         self,
         group: list[PendingWrite],
         found: tuple[StoredValue, ...],
+        revision: int,
     ) -> list[PendingWrite]:
-        """Compare writes with the stored claims; return those to retry."""
+        """Compare writes with the stored claims; return those to retry.
+
+        `revision` is the store's when they were read, 0 if not reported. What
+        was read from before the claim says nothing of it.
+        """
         by_key = {stored.key: stored for stored in found}
         retries = []
         for pending in group:
             stored = by_key.get(pending.key)
             if _is_applied(pending, stored):
                 self._complete(pending, stored.mod_revision if stored else 0)
-            elif _is_unchanged(pending, stored):
+            elif _is_unchanged(pending, stored) or (
+                0 < revision < pending.expected_revision
+            ):
                 retries.append(pending)
             else:
                 self._handle_conflict(pending, stored)
--- a/packages/node/src/kumquathold_node/etcd_store.py
+++ b/packages/node/src/kumquathold_node/etcd_store.py
@@ -71,16 +71,20 @@
             failure=[_make_read_operation(write) for write in writes],
         )
         response = self._call('/v3/kv/txn', request, etcd.TxnResponse)
-        found = [
-            _decode_pair(pair)
+        revision = int(response.header.revision)
+        if response.succeeded:
+            return SwapResult(succeeded=True, revision=revision, found=())
+        ranges = [
+            operation.response_range
             for operation in response.responses
             if operation.response_range is not None
-            for pair in operation.response_range.kvs
         ]
+        found = [_decode_pair(pair) for one in ranges for pair in one.kvs]
+        read_at = [int(one.header.revision) or revision for one in ranges]
         return SwapResult(
-            succeeded=response.succeeded,
-            revision=int(response.header.revision),
-            found=() if response.succeeded else tuple(found),
+            succeeded=False,
+            revision=min([revision, *read_at]),
+            found=tuple(found),
         )
 
     def grant_lease(self, seconds: float) -> Lease:
--- a/packages/node/src/kumquathold_node/store.py
+++ b/packages/node/src/kumquathold_node/store.py
@@ -74,7 +74,7 @@
     """Whether all conditions held, so that all keys were written."""
 
     revision: int
-    """Revision of the store after the transaction."""
+    """Revision of the store after the transaction, or of what was found."""
 
     found: tuple[StoredValue, ...]
     """If a condition failed, the keys that exist; otherwise empty."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,9 @@
     # The election of rate holders had no candidates in a region whose only
     # node had left.
     121,
+    # A read from before a claim was taken for its loss, and the outcome of
+    # the request was not stored.
+    507,
     # False alarm: the operator of the soak test accepted one version twice,
     # and the check of withdrawn keys reported a violation.
     7,
