Let the tests of once-only requests wait out the owners' back-off

Seen twice beside a load of 30 on 8 cores: test_reused_key_with_another_body and test_repeat_through_another_region got 503 store-unavailable, in 2 of 28 runs of the module. Each comes right after the tests that take the platform away, in the fleet that they share. An owner whose last call to the store failed refuses claims for 0.5 s (STORE_BACKOFF_SECONDS), and one that still looks for an abandoned claim makes such a call each tick, up to the moment at which the platform returns.

So the refusal was right and the test began too soon. It waits for that back-off now; all checks are as before. An earlier run of four modules, at a load of 54, had two failures and an error whose output was not kept; whether they were these is not known.

--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -7,6 +7,7 @@
 import unittest
 
 from kumquathold_cli.client import CallRefused
+from kumquathold_node.claims_service import STORE_BACKOFF_SECONDS
 from kumquathold_standins.caller import Caller, Response
 from kumquathold_standins.fleet import Fleet, Node, running_fleet, wait_until
 from tests.support import KEYS, make_rules, small_spec
@@ -45,6 +46,8 @@
 
     def tearDown(self) -> None:
         self.fleet.set_platform()
+        # Owners whose last call to the store failed refuse claims meanwhile.
+        time.sleep(STORE_BACKOFF_SECONDS)
 
     def test_repeat_through_another_region_gets_the_first_answer(self) -> None:
         first = hold(self.fleet.nodes[0], 'repeat')
