Send nothing for a caller that left while it waited for a token

Nobody looked before. Callers' upstreams worked for nobody.

The ingress looks before each attempt now, and refuses as cancelled, unrun; not a request with a claim, which is to run once begun. The test failed before.

--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -394,6 +394,8 @@
         admitted: AdmittedRequest,
         history: AttemptHistory,
     ) -> CallerResponse | AttemptFailure:
+        if admitted.request.is_disconnected() and not admitted.claim:
+            return AttemptFailure(Outcome.not_run, Refusal.cancelled)
         selection_request = history.selection_request
         selection_request.may_send_trial = self._may_send_trial(
             selection_request.service.name
