Wait for a silent owner of a request that may not be repeated

Operators' report: a machine that was only silent for a while had its running work given up. It happened here: with the owner frozen, or behind a cut, for 5 s while a request ran beside it, callers got 502 after 3.2 and 3.6 s, outcome unknown, though it had run once and its response was ready when the owner was heard again.

Cause: an attempt ended as soon as membership had declared the owner dead, which takes about 3 s of silence and says nothing of the work. Its late response was then dropped. Nothing can be tried elsewhere for such a request, so giving up early serves nobody.

Now it waits until its deadline, unless the owner is known to have started anew, which still ends it at once.

--- a/packages/node/src/kumquathold_node/attempts.py
+++ b/packages/node/src/kumquathold_node/attempts.py
@@ -345,13 +345,14 @@
     def _may_give_up(self) -> bool:
         """Whether to end the attempt although its outcome is unknown.
 
-        This is so if the request can be repeated, or if the owner process is
-        gone. Otherwise only the owner can report the outcome.
+        This is so if the request can be repeated, or if the owner has been
+        started anew. A silent one may still report the outcome in time, also
+        after its peers have declared it dead.
         """
         if self.admitted.route.idempotent:
             return True
         node = self.context.membership.view.by_address.get(self.owner)
-        return node is None or node.incarnation != self.owner_incarnation
+        return node is not None and node.incarnation != self.owner_incarnation
 
     def _cancel(
         self,
