Let no rate holder grant beside its successor

Operators' report: around a hand-over between two processes both acted for a moment.

- A holder cut off from the store and from all peers granted on for its reclaim period, while its region had a successor.
- Validity was extended by 1.5 s at each check, also at the end of the lease.
- Validity was held against the monotonic clock, which stops while a machine is suspended.
The lease does not.

Past its lease a holder now grants only while most of its region has answered a heartbeat within 2.5 s, less than a peer takes to declare it dead; then only the store's answer lets it act again, with new buckets. Heartbeats to up to 16 nodes of the region are sent for this only while the store fails. Validity ends with the lease at the latest, and all its times are of the boot clock.

Not covered: a holder with most of its region on its side of a cut, and a successor with the store on the other.

--- a/packages/core/src/kumquathold_core/member_table.py
+++ b/packages/core/src/kumquathold_core/member_table.py
@@ -99,6 +99,14 @@
             if member.state == MemberState.dead
         ]
 
+    def list_lost_records(self) -> list[NodeRecord]:
+        """List the records of the dead nodes that had not drained."""
+        return [
+            member.record
+            for member in self.members.values()
+            if member.state == MemberState.dead and not member.record.leaving
+        ]
+
     def is_suspect_or_dead(self, address: str) -> bool:
         """Whether a known node is suspect or dead."""
         member = self.members.get(address)
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -103,6 +103,13 @@
     """Receives the reading when the peer responds."""
 
 
+class WatchPeersCommand(msgspec.Struct, frozen=True):
+    """Send a heartbeat to these peers in each round, beside its own."""
+
+    peers: tuple[str, ...]
+    """Peer addresses; empty to stop."""
+
+
 class FleetView(msgspec.Struct, frozen=True):
     """Immutable view of the member table, replaced on each change."""
 
@@ -112,6 +119,9 @@
     by_address: dict[str, NodeRecord]
     """The same records, by peer address."""
 
+    lost: tuple[NodeRecord, ...]
+    """The dead nodes that had not drained."""
+
     suspects: frozenset[str]
     """Peer addresses of the suspected nodes."""
 
@@ -152,6 +162,9 @@
         self.heartbeats: dict[int, Heartbeat] = {}
         self.clock_readings: dict[str, PeerClockReading] = {}
         self.clock_waiters: dict[str, list[Future[PeerClockReading]]] = {}
+        self.answered_at: dict[str, float] = {}
+        """When the heartbeat was sent that each peer answered last."""
+        self.watched_peers: tuple[str, ...] = ()
         self.last_ping_number = 0
         self.seeds: tuple[str, ...] = ()
         self.last_sync_at = -SYNC_INTERVAL_SECONDS
@@ -175,6 +188,7 @@
                 JoinCommand: self.on_join,
                 PingCommand: self.on_ping_command,
                 ReadClockCommand: self.on_read_clock,
+                WatchPeersCommand: self.on_watch_peers,
             },
             tick=self.run_round,
             tick_seconds=settings.heartbeat,
@@ -203,8 +217,15 @@
         except FutureTimeout:
             return None
 
+    def get_last_answer_time(self, peer: str) -> float:
+        """Return when the heartbeat was sent that a peer answered last.
+
+        In seconds of the own monotonic clock, 0 for never.
+        """
+        return self.answered_at.get(peer, 0.0)
+
     def run_round(self) -> None:
-        """Send this round's heartbeat and act on those not answered."""
+        """Send this round's heartbeats and act on those not answered."""
         now = monotonic()
         self._check_heartbeats(now)
         for record in self.table.expire_members(now):
@@ -214,6 +235,8 @@
         peer = self.peers.take_probe_target()
         if peer is not None:
             self._ping(peer, now)
+        for watched in self.watched_peers:
+            self._ping(watched, now)
         if now - self.last_dead_ping_at >= DEAD_PING_SECONDS:
             self.last_dead_ping_at = now
             self._ping_dead(now)
@@ -273,6 +296,9 @@
             self.clock_readings.get(envelope.sender), reading
         )
         self.clock_readings[envelope.sender] = reading
+        self.answered_at[envelope.sender] = max(
+            heartbeat.sent_at, self.get_last_answer_time(envelope.sender)
+        )
         for reply in self.clock_waiters.pop(envelope.sender, ()):
             reply.set_result(reading)
         self.freshness.record_peer_report(
@@ -347,6 +373,10 @@
         self.clock_waiters.setdefault(command.peer, []).append(command.reply)
         self._ping(command.peer, monotonic())
 
+    def on_watch_peers(self, command: WatchPeersCommand) -> None:
+        """Replace the peers that get a heartbeat in each round."""
+        self.watched_peers = command.peers
+
     def _take_updates_for(self, peer: str) -> tuple[gossip.MemberUpdate, ...]:
         """Take the updates to piggyback on a message to a peer.
 
@@ -468,6 +498,7 @@
         return FleetView(
             nodes=nodes,
             by_address={node.address: node for node in nodes},
+            lost=tuple(self.table.list_lost_records()),
             suspects=frozenset(self.table.list_suspects()),
             holders=holders,
             change_count=self.table.change_count,
--- a/packages/node/src/kumquathold_node/rate_election.py
+++ b/packages/node/src/kumquathold_node/rate_election.py
@@ -13,9 +13,18 @@
 import msgspec
 from loguru import logger
 
-from kumquathold_core import member_table, store_keys, token_bucket
+from kumquathold_core import (
+    holder_validity,
+    member_table,
+    store_keys,
+    token_bucket,
+)
 from kumquathold_node.kernel import Kernel, Task
-from kumquathold_node.membership import GroupsHeldEvent, Membership
+from kumquathold_node.membership import (
+    GroupsHeldEvent,
+    Membership,
+    WatchPeersCommand,
+)
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.process_clock import read_boot_clock
 from kumquathold_node.rate_holder import HoldGroupsCommand, RateHolder
@@ -39,6 +48,8 @@
 """Time without a check after which the process counts as paused."""
 
 HOLDER_TIMEOUT_SECONDS = 2.0
+MAX_CONTACTS = 16
+"""Most nodes of the region that a holder asks whether they hear it."""
 
 
 class HolderRecord(msgspec.Struct, frozen=True):
@@ -63,12 +74,16 @@
     return f'{",".join(sorted(settings.regions))}/{settings.rate_groups}'
 
 
+def _find_start(ended_at: float) -> float:
+    """Return when all grants of a holder that has ended are expired."""
+    return ended_at + token_bucket.GRANT_LIFETIME_SECONDS
+
+
 class RateElection:
     """Acquires, keeps and releases this node's rate groups.
 
-    `kept_alive_at`, `checked_at`, `store_failed_at` and `paused_at` are times
-    of the boot clock. `started_at`, `read_at`, `ready_at` and `valid_until` are
-    times of the monotonic clock.
+    All times are of the boot clock: a lease also runs out while this machine
+    is suspended.
     """
 
     def __init__(self, kernel: Kernel, settings: Settings) -> None:
@@ -86,9 +101,12 @@
         self.checked_at = read_boot_clock()
         self.store_failed_at = 0.0
         self.paused_at = 0.0
+        self.yielded_at = 0.0
+        """When it last stopped granting, as most of its region was silent."""
+        self.contacts: tuple[str, ...] = ()
         # Set to 0 once this process has tried to acquire the groups that an
         # earlier process at this address held.
-        self.started_at = monotonic()
+        self.started_at = read_boot_clock()
         self.read_at = -READ_INTERVAL_SECONDS
         self.ready_at: dict[int, float] = {}
         self.is_stopping = False
@@ -115,6 +133,7 @@
             self.store_failed_at = check_started_at
             self.metrics.count('rates.store_unavailable')
             logger.debug('rate election failed', cause=str(error))
+        self._watch_contacts()
         self._extend_validity()
         self.checked_at = read_boot_clock()
 
@@ -151,39 +170,107 @@
 
         The lease expired during an outage of the store or while the node was
         isolated from it. Other nodes do not take the groups of a node that
-        membership reports alive, so its buckets remain valid.
+        membership reports alive, so its buckets remain valid. If it may have
+        been reported dead, a successor may have granted meanwhile.
         """
         groups = self.ready_at
+        may_have_successor = self._may_have_successor()
         self.metrics.count('rates.lease_lost')
         logger.warning('rate lease ended', groups=sorted(groups))
         self.lease = None
         self.ready_at = {}
-        kept = self._acquire(sorted(groups), self._read_records())
-        self.ready_at.update({group: groups[group] for group in kept})
+        for group in self._acquire(sorted(groups), self._read_records()):
+            ready_at = groups[group]
+            if may_have_successor:
+                ready_at = _find_start(read_boot_clock())
+            self.ready_at[group] = ready_at
         self._publish()
 
+    def _may_have_successor(self) -> bool:
+        """Whether the node may have been declared dead since its renewal."""
+        return max(self.paused_at, self.yielded_at) > self.kept_alive_at
+
+    def _watch_contacts(self) -> None:
+        """Have nodes of the region answer heartbeats while the store fails."""
+        contacts: tuple[str, ...] = ()
+        if self.ready_at and self.store_failed_at > self.kept_alive_at:
+            contacts = self._select_contacts()
+        if contacts != self.contacts:
+            self.contacts = contacts
+            self.membership.task.post(WatchPeersCommand(contacts))
+
+    def _select_contacts(self) -> tuple[str, ...]:
+        """Return other nodes of the region, dead ones included.
+
+        They are the same in each check, as long as the region is.
+        """
+        view = self.membership.view
+        own = self.settings.peer
+        others = [
+            node
+            for node in (*view.nodes, *view.lost)
+            if node.region == self.settings.region
+            and not node.leaving
+            and node.address != own
+        ]
+        ranked = member_table.rank_by_rendezvous(others, f'contacts {own}')
+        return tuple(node.address for node in ranked[:MAX_CONTACTS])
+
     def _extend_validity(self) -> None:
         """Extend the time until which tokens of the groups may be granted.
 
+        That is the lease's own term, and the reclaim period after it.
+        """
+        if not self.ready_at:
+            return
+        now = read_boot_clock()
+        valid_until = self.kept_alive_at + self.settings.rate_term
+        if now >= valid_until:
+            valid_until = self._find_reclaim_end(now)
+        if now >= valid_until:
+            return
+        self.valid_until = min(valid_until, now + VALIDITY_EXTENSION_SECONDS)
+        self._publish()
+
+    def _find_reclaim_end(self, now: float) -> float:
+        """Return until when tokens may be granted without the lease.
+
         While the store does not respond, this node keeps its groups for the
         reclaim period, since other nodes leave the groups of a live node alone.
-        After a pause of this process, during which another node may have taken
-        them, only the lease's own term counts until the store responds.
+        After a pause of this process, or once most of its region was silent,
+        another node may have taken them, until the store responds.
         """
-        lease_age = read_boot_clock() - self.kept_alive_at
         is_store_failing = self.store_failed_at > self.kept_alive_at
-        has_paused = self.paused_at > self.kept_alive_at
-        is_reclaim_period = is_store_failing and not has_paused
-        limit = self.settings.rate_term
-        if is_reclaim_period:
-            limit = max(limit, self.settings.rate_standing)
-        if not self.ready_at or lease_age >= limit:
-            return
-        self.valid_until = monotonic() + VALIDITY_EXTENSION_SECONDS
-        self._publish()
+        if not is_store_failing or self._may_have_successor():
+            return 0.0
+        answered_at = [
+            self.membership.get_last_answer_time(peer) for peer in self.contacts
+        ]
+        steady_now = monotonic()
+        silent_for = steady_now - holder_validity.find_quorum_time(
+            answered_at, steady_now
+        )
+        if silent_for >= holder_validity.CONTACT_SECONDS:
+            self._yield_groups(now, silent_for)
+            return 0.0
+        return min(
+            self.kept_alive_at + self.settings.rate_standing,
+            now + holder_validity.CONTACT_SECONDS - silent_for,
+        )
+
+    def _yield_groups(self, now: float, silent_for: float) -> None:
+        self.yielded_at = now
+        self.metrics.count('rates.yielded')
+        logger.warning(
+            'rate groups yielded',
+            groups=sorted(self.ready_at),
+            lease_age=round(now - self.kept_alive_at, 3),
+            silent_for=round(silent_for, 3),
+            contacts=len(self.contacts),
+        )
 
     def _acquire_free_groups(self) -> None:
-        now = monotonic()
+        now = read_boot_clock()
         if now - self.read_at < READ_INTERVAL_SECONDS:
             return
         free = self._list_free_groups()
@@ -200,10 +287,9 @@
         for group in acquired:
             # The last process at this address ended before this one began, so
             # its grants expire at most one lifetime after that.
-            granted_at = self.started_at if group in former else monotonic()
-            self.ready_at[group] = (
-                granted_at + token_bucket.GRANT_LIFETIME_SECONDS
-            )
+            is_former = group in former
+            ended_at = self.started_at if is_former else read_boot_clock()
+            self.ready_at[group] = _find_start(ended_at)
         self.started_at = 0.0
         if acquired:
             self._publish()
@@ -307,7 +393,7 @@
             requested_at = read_boot_clock()
             self.lease = self.store.grant_lease(self.settings.rate_term)
             self.kept_alive_at = requested_at
-            self.valid_until = monotonic() + VALIDITY_EXTENSION_SECONDS
+            self.valid_until = requested_at + VALIDITY_EXTENSION_SECONDS
         return self.lease
 
     def _publish(self) -> None:
--- a/packages/node/src/kumquathold_node/rate_holder.py
+++ b/packages/node/src/kumquathold_node/rate_holder.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from concurrent.futures import Future
-from time import monotonic
 from typing import Any
 
 import msgspec
@@ -17,6 +16,7 @@
 from kumquathold_node.configuration import ConfigurationService
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.metrics import Metrics
+from kumquathold_node.process_clock import read_boot_clock
 from kumquathold_node.settings import Settings
 from kumquathold_node.transport import Transport
 
@@ -28,10 +28,10 @@
     """Sets the groups that this node may grant tokens from."""
 
     ready_at: dict[int, float]
-    """Per group: own monotonic clock, in seconds, when its buckets start."""
+    """Per group: own boot clock, in seconds, when its buckets start."""
 
     valid_until: float
-    """Own monotonic clock, in seconds, until when grants are allowed."""
+    """Own boot clock, in seconds, until when grants are allowed."""
 
     done: Future[None]
     """Set when the holder has applied it."""
@@ -64,12 +64,17 @@
         kernel.add_task(self.task)
 
     def on_hold_groups(self, command: HoldGroupsCommand) -> None:
-        """Apply the groups and their validity; drop other groups' buckets."""
-        self.ready_at = command.ready_at
-        self.valid_until = command.valid_until
+        """Apply the groups and their validity.
+
+        The buckets of groups that are no longer held, or start anew, are
+        dropped.
+        """
         for name in list(self.buckets):
-            if self._group_of(name) not in self.ready_at:
+            group = self._group_of(name)
+            if self.ready_at.get(group) != command.ready_at.get(group):
                 self.buckets.pop(name)
+        self.ready_at = command.ready_at
+        self.valid_until = command.valid_until
         command.done.set_result(None)
 
     def on_grant_request(
@@ -78,7 +83,7 @@
         """Grant the tokens that are available, up to the number wanted."""
         request = envelope.message
         self._apply_reports(envelope, request.reports)
-        now = monotonic()
+        now = read_boot_clock()
         bucket = self._get_bucket(request.workspace, now)
         tokens = 0
         retry_after = 0.0
@@ -104,7 +109,7 @@
 
     def drop_idle_buckets(self) -> None:
         """Drop full buckets; one that is needed again is created full."""
-        now = monotonic()
+        now = read_boot_clock()
         for name, bucket in list(self.buckets.items()):
             if bucket.is_idle(now):
                 self.buckets.pop(name)
@@ -114,7 +119,7 @@
         envelope: Envelope[Any],
         reports: tuple[distribution.GrantUsage, ...],
     ) -> None:
-        now = monotonic()
+        now = read_boot_clock()
         for report in reports:
             bucket = self.buckets.get(report.workspace)
             if bucket is not None:
--- a/tests/test_rates_fleet.py
+++ b/tests/test_rates_fleet.py
@@ -40,14 +40,14 @@
     return tuple(node.callers for node in fleet.nodes)
 
 
-def make_hot_stream(fleet: Fleet) -> Stream:
+def make_hot_stream(fleet: Fleet, path: str = '/diffs/{n}') -> Stream:
     """Return a stream at several times its workspace's rate, to all nodes."""
     return Stream(
         'hot',
         KEYS['small'],
         list_caller_addresses(fleet),
         HOT_RATE,
-        path='/diffs/{n}',
+        path=path,
         headers={'X-Operation': 'hot-{n}', 'X-Work': '0.001'},
         workers=64,
     )
