Tell a restarted owner what it offers although it has left

The gap that INVARIANTS listed under point 7: an owner learned of departures from the record of its earlier process, which peers send on its first request for their tables. If its new record had reached them before, that record was replaced, and although their member tables still knew that the upstream had left, they used that only for themselves. The owner went on offering it to its own callers.

Whatever a peer must be told of itself, suspicion or a departure that its record contradicts, goes with each message to it now. The owner takes it from records of any incarnation, as a departure is final for a lifetime. The test of a new record that came first failed before: the peer told the owner nothing.

--- a/packages/core/src/kumquathold_core/member_table.py
+++ b/packages/core/src/kumquathold_core/member_table.py
@@ -107,11 +107,6 @@
             if member.state == MemberState.dead and not member.record.leaving
         ]
 
-    def is_suspect_or_dead(self, address: str) -> bool:
-        """Whether a known node is suspect or dead."""
-        member = self.members.get(address)
-        return member is not None and member.state != MemberState.alive
-
     def list_peers(self) -> list[str]:
         """List the addresses of the other nodes that are not dead."""
         if self.cached_peers is None:
@@ -198,6 +193,21 @@
         member = self.members[address]
         return MemberUpdate(record=member.record, state=member.state)
 
+    def find_correction(self, address: str) -> MemberUpdate | None:
+        """Return what a node must be told of itself, if anything.
+
+        It refutes that it is suspect or dead, and it may not know that an
+        upstream which it offers has left: its earlier process knew.
+        """
+        member = self.members.get(address)
+        if member is None:
+            return None
+        record = self.departures.apply(member.record)
+        is_right = record is member.record
+        if is_right and member.state == MemberState.alive:
+            return None
+        return MemberUpdate(record=record, state=member.state)
+
     def list_short_hashes(self) -> tuple[int, ...]:
         """List the hash of each record and state, cut to 32 bits."""
         return tuple(
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -17,7 +17,7 @@
 import msgspec
 from loguru import logger
 
-from kumquathold_core import gossip, member_table, peer_clock
+from kumquathold_core import departures, gossip, member_table, peer_clock
 from kumquathold_core.peer_clock import PeerClockReading
 from kumquathold_core.peer_selection import PeerSelector
 from kumquathold_node.freshness_service import FreshnessService
@@ -68,11 +68,14 @@
     """All groups that are held now."""
 
 
-class EarlierRecordEvent(msgspec.Struct, frozen=True):
-    """A peer has sent the record of an earlier process of this node."""
+class DeparturesLearnedEvent(msgspec.Struct, frozen=True):
+    """A peer knows of upstreams beside this node that have left.
 
-    record: NodeRecord
-    """That record."""
+    An earlier process of this node heard of it.
+    """
+
+    upstreams: tuple[UpstreamRecord, ...]
+    """These upstreams."""
 
 
 class LeaveCommand(msgspec.Struct, frozen=True):
@@ -380,13 +383,11 @@
     def _take_updates_for(self, peer: str) -> tuple[gossip.MemberUpdate, ...]:
         """Take the updates to piggyback on a message to a peer.
 
-        A peer that is suspect or dead is always sent its own state, so that
-        it can refute that state.
+        What it must be told of itself goes with each message.
         """
         updates = self.table.take_updates()
-        if self.table.is_suspect_or_dead(peer):
-            return (*updates, self.table.make_update(peer))
-        return updates
+        correction = self.table.find_correction(peer)
+        return (*updates, correction) if correction else updates
 
     def _make_ping(
         self,
@@ -463,7 +464,8 @@
     def _merge(self, updates: tuple[gossip.MemberUpdate, ...]) -> None:
         now = monotonic()
         for update in updates:
-            self._check_earlier_record(update.record)
+            if update.record.address == self.table.own.address:
+                self._learn_departures(update.record)
             self.table.merge(update, now)
         incarnation = self.table.own.incarnation
         if incarnation != self.transport.incarnation:
@@ -471,11 +473,15 @@
             self.transport.incarnation = incarnation
         self._refresh_view()
 
-    def _check_earlier_record(self, record: NodeRecord) -> None:
-        own = self.table.own
-        is_own = record.address == own.address
-        if is_own and record.incarnation != own.incarnation:
-            self.kernel.find('owner').task.post(EarlierRecordEvent(record))
+    def _learn_departures(self, record: NodeRecord) -> None:
+        """Tell the owner which of its upstreams a peer knows to have left."""
+        known = departures.list_leaving(self.table.own)
+        left = [
+            one for one in departures.list_leaving(record) if one not in known
+        ]
+        if left:
+            event = DeparturesLearnedEvent(tuple(left))
+            self.kernel.find('owner').task.post(event)
 
     def _gossip_now(self) -> None:
         self._refresh_view()
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -30,7 +30,7 @@
 from kumquathold_node.crash_reports import CrashReports
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.kernel import Kernel, Task
-from kumquathold_node.membership import EarlierRecordEvent, Membership
+from kumquathold_node.membership import DeparturesLearnedEvent, Membership
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner_calls import (
     CallBrokenEvent,
@@ -122,7 +122,7 @@
                 CallFailedEvent: self.on_call_failed,
                 AnnouncedEvent: self.on_announced,
                 DeregisteredEvent: self.on_deregistered,
-                EarlierRecordEvent: self.on_earlier_record,
+                DeparturesLearnedEvent: self.on_departures_learned,
                 DrainCommand: self.on_drain,
             },
             tick=self.on_tick,
@@ -276,9 +276,9 @@
             self._refuse_queued(upstream)
         deregistered.reply.set_result((in_use, 0))
 
-    def on_earlier_record(self, event: EarlierRecordEvent) -> None:
+    def on_departures_learned(self, event: DeparturesLearnedEvent) -> None:
         """Learn which upstreams had left before this process started."""
-        for upstream in self.roster.record_departures(event.record):
+        for upstream in self.roster.record_departures(event.upstreams):
             self._refuse_queued(upstream)
 
     def _refuse_queued(self, upstream: Upstream) -> None:
--- a/packages/node/src/kumquathold_node/upstream_roster.py
+++ b/packages/node/src/kumquathold_node/upstream_roster.py
@@ -12,9 +12,8 @@
 import msgspec
 from loguru import logger
 
-from kumquathold_core import departures
 from kumquathold_core.announcement_tracker import AnnouncementTracker
-from kumquathold_core.identity import NodeRecord, UpstreamRecord
+from kumquathold_core.identity import UpstreamRecord
 from kumquathold_node.announcements import AnnouncedEvent, DeregisteredEvent
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.kernel import Kernel
@@ -97,13 +96,15 @@
             self._set_leaving('upstream deregistered', upstream)
         return upstream
 
-    def record_departures(self, earlier: NodeRecord) -> list[Upstream]:
+    def record_departures(
+        self, departed: tuple[UpstreamRecord, ...]
+    ) -> list[Upstream]:
         """Record which upstreams an earlier process of this node saw leave.
 
         Returns those that have announced themselves as ready since then.
         """
         found = []
-        for left in departures.list_leaving(earlier):
+        for left in departed:
             self.announcement_tracker.record_deregistration(
                 left.name, left.lifetime
             )
--- a/tests/test_left_upstreams.py
+++ b/tests/test_left_upstreams.py
@@ -4,13 +4,18 @@
 
 import time
 import unittest
+from types import SimpleNamespace
+from typing import Any
+from unittest import mock
 
 import msgspec
 
-from kumquathold_core.gossip import MemberState, MemberUpdate
-from kumquathold_core.identity import UpstreamRecord
+from kumquathold_core.gossip import MemberState, MemberUpdate, SyncResponse
+from kumquathold_core.identity import NodeRecord, UpstreamRecord
 from kumquathold_core.member_table import MemberTable
-from kumquathold_node.membership import EarlierRecordEvent
+from kumquathold_core.wire import Envelope
+from kumquathold_node.kernel import Kernel
+from kumquathold_node.membership import DeparturesLearnedEvent, Membership
 from kumquathold_standins.fleet import Node
 from tests.owner_stage import OwnerStage
 from tests.support import make_node_record
@@ -58,17 +63,62 @@
     def test_restarted_owner_learns_of_it_from_its_peers(self) -> None:
         for is_announced_first in (False, True):
             stage = OwnerStage.for_test(self)
-            event = EarlierRecordEvent(make_node_record(OWNER, 'a', 1, (LEFT,)))
+            event = DeparturesLearnedEvent((LEFT,))
             if is_announced_first:
                 stage.announce()
                 stage.send(1)
-            stage.owner.on_earlier_record(event)
+            stage.owner.on_departures_learned(event)
             upstream = stage.announce()
             with self.subTest(is_announced_first):
                 is_offered = upstream and not upstream.record.leaving
                 self.assertFalse(is_offered)
 
 
+class CorrectionTest(unittest.TestCase):
+    """A peer tells a restarted owner what it offers in error."""
+
+    def test_owner_whose_new_record_came_first_is_told(self) -> None:
+        own = make_node_record(OWNER, 'a', 2, (READY,))
+        owner, learned = make_membership(own)
+        peer = MemberTable(make_node_record('peer'), 0.0)
+        for record in (make_node_record(OWNER, 'a', 1, (LEFT,)), own):
+            peer.merge(MemberUpdate(record, MemberState.alive), 0.0)
+        correction = peer.find_correction(OWNER)
+        self.assertIsNotNone(correction)
+        if correction:
+            owner.on_sync_response(
+                Envelope('peer', 1, SyncResponse(updates=(correction,)))
+            )
+        self.assertEqual(learned, [DeparturesLearnedEvent((LEFT,))])
+
+    def test_owner_that_is_right_is_told_nothing(self) -> None:
+        peer = MemberTable(make_node_record('peer'), 0.0)
+        for upstream in (READY, LEFT):
+            record = make_node_record(OWNER, 'a', 1, (upstream,))
+            peer.merge(MemberUpdate(record, MemberState.alive), 0.0)
+            self.assertIsNone(peer.find_correction(OWNER))
+        owner, learned = make_membership(
+            make_node_record(OWNER, 'a', 1, (LEFT,))
+        )
+        echo = MemberUpdate(owner.table.own, MemberState.alive)
+        owner.on_sync_response(
+            Envelope('peer', 1, SyncResponse(updates=(echo,)))
+        )
+        self.assertEqual(learned, [])
+
+
+def make_membership(own: NodeRecord) -> tuple[Membership, list[object]]:
+    """Make the membership of an owner, and the list of what it tells it."""
+    kernel = Kernel()
+    learned: list[object] = []
+    kernel.register('transport', mock.MagicMock(incarnation=own.incarnation))
+    kernel.register('freshness', mock.MagicMock())
+    task = SimpleNamespace(post=learned.append)
+    kernel.register('owner', SimpleNamespace(task=task))
+    settings: Any = SimpleNamespace(far_rounds=1, heartbeat=1.0)
+    return Membership(kernel, own, settings), learned
+
+
 class LeftUpstreamTest(unittest.TestCase):
     """An upstream that has left is used by nobody after a restart."""
 
