Split the pool of connections from the calls to an upstream

upstream_calls.py had 505 lines and two jobs: to send a request and judge its response, and to keep idle connections. ConnectionPool holds the second, with its own lock and constants; the text that explains when a connection is reused moved along. No decision changes.

--- a/packages/node/src/kumquathold_node/upstream_calls.py
+++ b/packages/node/src/kumquathold_node/upstream_calls.py
@@ -1,32 +1,24 @@
-"""HTTP/1.1 client for one upstream, with a pool of keep-alive connections.
-
-An idle connection is reused only within the upstream's `Keep-Alive` timeout
-and while nothing has arrived on it since its last response. A second copy of
-an earlier response may still arrive afterwards. Only the id of the request
-tells it apart: a connection is kept only if the last response carried one, the
-next response must carry one too, and a request that is repeated takes a
-connection that has not carried it. The dialect decides whether requests that
-must not run twice may reuse a connection: it may be dead without a sign of it,
-and a failed call leaves the outcome unknown.
+"""HTTP/1.1 client for one upstream.
+
+The dialect decides whether requests that must not run twice may reuse a
+connection: it may be dead without a sign of it, and a failed call leaves the
+outcome unknown.
 """
 
 from __future__ import annotations
 
 import http.client
-import re
-import select
 import socket
 import threading
-from collections import deque
 from collections.abc import Callable
 from contextlib import closing
 from time import monotonic
 
-import msgspec
 from loguru import logger
 
 from kumquathold_core.forwarding import ForwardRequest, Outcome, Refusal
 from kumquathold_node import upstream_probes
+from kumquathold_node.connection_pool import ConnectionPool
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.response_statements import (
     ResponseStatement,
@@ -42,12 +34,6 @@
 )
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-IDLE_TIMEOUT_SECONDS = 5.0
-KEEP_ALIVE_MARGIN_SECONDS = 1.0
-MAX_IDLE_CONNECTIONS = 8
-MAX_REQUESTS_PER_CONNECTION = 1000
-"""Bounds the ids that are kept for a connection."""
-
 MAX_CAUSE_CHARACTERS = 200
 STALE_CONNECTION_SECONDS = 0.03
 OUTCOME_HEADER = 'Kumquathold-Outcome'
@@ -62,8 +48,6 @@
 )
 """Statuses from which callers conclude that the request did not run."""
 
-KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r'timeout=(\d+)')
-
 
 class CallFailed(Exception):
     """A call that failed, or whose response must not be passed on."""
@@ -106,18 +90,8 @@
         self.is_ended = is_ended
 
 
-class IdleConnection(msgspec.Struct, frozen=True):
-    """A keep-alive connection in the pool."""
-
-    connection: UpstreamConnection
-    """Open connection whose last response has been read completely."""
-
-    expires_at: float
-    """Own monotonic clock, in seconds, after which it is not reused."""
-
-
 class UpstreamCalls:
-    """Connection pool of one upstream; safe to use from several threads."""
+    """The calls to one upstream; safe to use from several threads."""
 
     def __init__(
         self,
@@ -126,15 +100,15 @@
         dialect: UpstreamDialect | None = None,
         memory: ResponseMemory | None = None,
     ) -> None:
-        """Set up the pool without connecting.
+        """Set up an empty pool without connecting.
 
-        `memory` is shared by the pools whose bodies it bounds together.
+        `memory` is shared by the upstreams whose bodies it bounds together.
         """
         self.address = address
         self.name = name or address
         self.dialect = dialect or UpstreamDialect()
         self.memory = memory or ResponseMemory()
-        self.idle: deque[IdleConnection] = deque()
+        self.pool = ConnectionPool()
         self.running: dict[object, UpstreamConnection] = {}
         self.lock = threading.Lock()
 
@@ -168,7 +142,7 @@
         may_reuse = message.idempotent or self.dialect.reuses_for_non_idempotent
         connection = None
         if may_reuse:
-            connection = self._take_idle_connection(self._id_of(message))
+            connection = self.pool.take(self._id_of(message))
         if connection is None:
             return self._run_on_connection(self._connect(), message, body)
         try:
@@ -197,11 +171,7 @@
 
     def close(self) -> None:
         """Close the idle connections."""
-        with self.lock:
-            idle_connections = list(self.idle)
-            self.idle.clear()
-        for idle in idle_connections:
-            idle.connection.close()
+        self.pool.close()
 
     def _retry(
         self,
@@ -234,36 +204,6 @@
             ) from error
         return connection
 
-    def _take_idle_connection(self, sent_id: str) -> UpstreamConnection | None:
-        """Remove and return a connection that has not carried this id."""
-        now = monotonic()
-        with self.lock:
-            unfit: list[IdleConnection] = []
-            found = None
-            while self.idle and found is None:
-                idle = self.idle.pop()
-                if idle.expires_at < now or not _is_reusable(idle.connection):
-                    idle.connection.close()
-                elif sent_id in idle.connection.carried_ids:
-                    unfit.append(idle)
-                else:
-                    found = idle.connection
-            self.idle.extend(reversed(unfit))
-            return found
-
-    def _release_connection(
-        self,
-        connection: UpstreamConnection,
-        seconds: float,
-    ) -> None:
-        idle = IdleConnection(connection, monotonic() + seconds)
-        has_room = len(connection.carried_ids) < MAX_REQUESTS_PER_CONNECTION
-        with self.lock:
-            if has_room and len(self.idle) < MAX_IDLE_CONNECTIONS:
-                self.idle.append(idle)
-                return
-        connection.close()
-
     def _run_on_connection(
         self,
         connection: UpstreamConnection,
@@ -291,8 +231,7 @@
             with self.lock:
                 self.running.pop(message.request, None)
         if response.names_request and connection.sock is not None:
-            seconds = _parse_keep_alive(response.keep_alive)
-            self._release_connection(connection, seconds)
+            self.pool.release(connection, response.keep_alive)
         else:
             connection.close()
         self._check_response(response, message)
@@ -481,25 +420,3 @@
         error,
         (ConnectionError, http.client.IncompleteRead),
     )
-
-
-def _is_reusable(connection: UpstreamConnection) -> bool:
-    """Return whether a connection is open and has nothing to read.
-
-    Pending input is either the upstream's close or stray data after the last
-    response.
-    """
-    if connection.sock is None:
-        return False
-    poller = select.poll()
-    poller.register(connection.sock, select.POLLIN)
-    return not poller.poll(0)
-
-
-def _parse_keep_alive(keep_alive: str) -> float:
-    """Return the seconds that a connection with this header may idle."""
-    match = KEEP_ALIVE_TIMEOUT_PATTERN.search(keep_alive)
-    if match is None:
-        return IDLE_TIMEOUT_SECONDS
-    keep_alive_seconds = int(match[1]) - KEEP_ALIVE_MARGIN_SECONDS
-    return min(max(keep_alive_seconds, 0.0), IDLE_TIMEOUT_SECONDS)
