Split the stand-in fleet by job

fleet.py had 640 lines: the specification of a fleet, its child processes, ports and calls on loopback, and the fleet itself. They are fleet_spec, processes, loopback and fleet now, and importers name the module they use. No behaviour changes; statements were moved, not edited.

--- a/packages/standins/src/kumquathold_standins/conditions.py
+++ b/packages/standins/src/kumquathold_standins/conditions.py
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from kumquathold_standins.fleet import Fleet, Upstream
+from kumquathold_standins.fleet import Fleet
+from kumquathold_standins.processes import Upstream
 
 SLOW_LATENCY_SECONDS = 0.1
 """Latency of a slow upstream; the default latency is 5 ms."""
--- a/packages/standins/src/kumquathold_standins/demo.py
+++ b/packages/standins/src/kumquathold_standins/demo.py
@@ -14,8 +14,10 @@
 import msgspec
 
 from kumquathold_standins import fleet as fleets
+from kumquathold_standins import fleet_spec, loopback
 from kumquathold_standins.caller import Caller
-from kumquathold_standins.fleet import Fleet, Spec
+from kumquathold_standins.fleet import Fleet
+from kumquathold_standins.fleet_spec import Spec
 from kumquathold_standins.load import Stream, StreamResult, run_load
 
 LOAD_SECONDS = 8.0
@@ -89,7 +91,7 @@
             timeout=30,
         )
         if completed.returncode:
-            raise fleets.FleetError(
+            raise loopback.FleetError(
                 f'command {arguments} failed: {completed.stderr}',
             )
         return completed.stdout
@@ -226,7 +228,7 @@
         ]
         return all(one.reason == 'key-unknown' for one in responses)
 
-    fleets.wait_until(is_refused_everywhere, 'withdrawal')
+    loopback.wait_until(is_refused_everywhere, 'withdrawal')
     seconds = time.monotonic() - started_at
     return Check(
         'a withdrawn key is refused everywhere within 5 s',
@@ -239,7 +241,7 @@
 def main() -> None:
     """Demonstrate a fleet of six nodes in six zones."""
     started_at = time.monotonic()
-    spec = Spec(vms=fleets.six_zones(*SERVICES))
+    spec = Spec(vms=fleet_spec.six_zones(*SERVICES))
     with fleets.running_fleet(spec) as fleet:
         click.echo(
             f'{len(fleet.nodes)} nodes, {len(fleet.upstreams)} upstreams, '
--- a/packages/standins/src/kumquathold_standins/fleet.py
+++ b/packages/standins/src/kumquathold_standins/fleet.py
@@ -8,18 +8,12 @@
 
 from __future__ import annotations
 
-import itertools
 import os
-import random
-import signal
-import socket
-import subprocess  # noqa: S404
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager, suppress
-from http.client import HTTPConnection
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -29,16 +23,23 @@
 from kumquathold_cli.client import Client, ClientError
 from kumquathold_core.token_bucket import GRANT_LIFETIME_SECONDS
 from kumquathold_standins import platform as platform_standin
+from kumquathold_standins.fleet_spec import Spec, Vm
+from kumquathold_standins.loopback import (
+    call_http,
+    free_port,
+    is_open,
+    loopback_address,
+    wait_until,
+)
+from kumquathold_standins.processes import (
+    OPERATOR_SECRET,
+    Node,
+    Process,
+    Upstream,
+)
 from kumquathold_standins.relay import Link, Relay
-from kumquathold_standins.upstream import Behaviour, Run
-
-FIRST_PORT = 20_000
-PORT_LIMIT = 32_000
-"""Exclusive."""
+from kumquathold_standins.upstream import Run
 
-START_TIMEOUT_SECONDS = 30.0
-STOP_TIMEOUT_SECONDS = 15.0
-POLL_INTERVAL_SECONDS = 0.05
 STORE = 'store'
 """Receiver name of the links from nodes to the platform."""
 
@@ -46,209 +47,6 @@
 """Added to the lifetime of grants that earlier holders gave."""
 
 FLEET_SECRET = 'fleet-secret-of-the-stand-in-fleet'
-OPERATOR_SECRET = 'operator-secret-of-the-stand-in-fleet'
-
-_first_offset = random.SystemRandom().randrange(PORT_LIMIT - FIRST_PORT)
-_ports = itertools.cycle(
-    FIRST_PORT + (_first_offset + step) % (PORT_LIMIT - FIRST_PORT)
-    for step in range(PORT_LIMIT - FIRST_PORT)
-)
-
-
-class FleetError(Exception):
-    """The fleet cannot be started or does not reach a state."""
-
-
-class WaitTimeout(FleetError):
-    """The fleet did not reach a state within the timeout."""
-
-
-class Vm(msgspec.Struct, frozen=True):
-    """Placement of a node and the upstreams beside it."""
-
-    zone: str
-    """Availability zone."""
-
-    region: str
-    """Region of the zone."""
-
-    services: tuple[str, ...]
-    """Services; one upstream of each is started beside the node."""
-
-
-class Spec(msgspec.Struct, frozen=True):
-    """Configuration of a fleet."""
-
-    vms: tuple[Vm, ...]
-    """VMs, each with one node."""
-
-    store_region: str = 'north'
-    """Region that holds the platform's store."""
-
-    slots: int = 4
-    """Concurrent requests that each upstream announces it can run."""
-
-    latency: float = 0.005
-    """Seconds that an upstream takes to process a request."""
-
-    rate_term: float = 3600.0
-    """Value of the node's `--rate-term`."""
-
-    rate_groups: int = 8
-    """Value of the node's `--rate-groups`."""
-
-    quiet: float = 1.0
-    """Value of the node's `--quiet`."""
-
-    grace: float = 90.0
-    """Value of the node's `--grace`."""
-
-    threads: int = 64
-    """Value of the node's `--threads`."""
-
-    region_delay: float = 0.0
-    """One-way seconds between regions; used only if `relayed`."""
-
-    relayed: bool = False
-    """Whether nodes reach peers and the store over the relay's links.
-
-    Without it, links can be neither cut nor delayed.
-    """
-
-    cold_start: float = 0.0
-    """Seconds that an upstream announces `starting` before `ready`."""
-
-    skewable: bool = False
-    """Whether `Fleet.skew` can shift the wall clock of nodes."""
-
-    @property
-    def regions(self) -> tuple[str, ...]:
-        """Regions of the VMs, sorted."""
-        return tuple(sorted({vm.region for vm in self.vms}))
-
-
-ZONES = (
-    ('north-a', 'north'),
-    ('north-b', 'north'),
-    ('east-a', 'east'),
-    ('east-b', 'east'),
-    ('south-a', 'south'),
-    ('south-b', 'south'),
-)
-
-
-def six_zones(*services: str) -> tuple[Vm, ...]:
-    """Return one VM for each of six zones in three regions."""
-    return tuple(Vm(zone, region, services) for zone, region in ZONES)
-
-
-class Process:
-    """A child process with its log file."""
-
-    def __init__(self, name: str, arguments: list[str], log: Path) -> None:
-        """Start the process; standard output and error go to the log."""
-        self.name = name
-        self.arguments = arguments
-        self.log = log
-        self.popen = self._start()
-
-    @property
-    def pid(self) -> int:
-        """Process id."""
-        return self.popen.pid
-
-    def signal(self, number: int) -> None:
-        """Send a signal to the process unless it has exited."""
-        if self.popen.poll() is None:
-            self.popen.send_signal(number)
-
-    def kill(self) -> None:
-        """Send SIGKILL and wait for the exit."""
-        self.signal(signal.SIGKILL)
-        self.popen.wait(STOP_TIMEOUT_SECONDS)
-
-    def freeze(self) -> None:
-        """Suspend the process with SIGSTOP."""
-        self.signal(signal.SIGSTOP)
-
-    def resume(self) -> None:
-        """Resume the suspended process with SIGCONT."""
-        self.signal(signal.SIGCONT)
-
-    def terminate(self) -> None:
-        """Request a graceful shutdown with SIGTERM."""
-        self.signal(signal.SIGTERM)
-
-    def wait(self, seconds: float = STOP_TIMEOUT_SECONDS) -> int:
-        """Wait for the exit and return the exit code."""
-        return self.popen.wait(seconds)
-
-    def restart(self) -> None:
-        """Start the process again with the same arguments."""
-        self.popen = self._start()
-
-    def stop(self) -> None:
-        """Kill the process, also while it is suspended."""
-        self.resume()
-        self.kill()
-
-    def _start(self) -> subprocess.Popen[bytes]:
-        with self.log.open('ab') as log:
-            return subprocess.Popen(  # noqa: S603
-                self.arguments,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
-
-
-class Upstream:
-    """A running upstream stand-in."""
-
-    def __init__(self, address: str, service: str, process: Process) -> None:
-        """Store the address, the service and the process."""
-        self.address = address
-        self.service = service
-        self.process = process
-
-    def behave(self, **fields: Any) -> None:
-        """Set the behaviour; fields not given take their defaults."""
-        body = msgspec.json.encode(Behaviour(**fields))
-        call_http(self.address, 'POST', '/_control', body)
-
-    def state(self) -> dict[str, int]:
-        """Fetch the counts that the upstream keeps."""
-        return msgspec.json.decode(call_http(self.address, 'GET', '/_state'))
-
-
-class Node:
-    """A running node."""
-
-    def __init__(self, vm: Vm, ports: list[int], process: Process) -> None:
-        """Store the process and the addresses of its four listeners."""
-        self.vm = vm
-        self.peer, self.callers, self.admin, self.announce = (
-            loopback_address(port) for port in ports
-        )
-        self.process = process
-        self.upstreams: list[Upstream] = []
-
-    @property
-    def client(self) -> Client:
-        """Client of this node's administration API."""
-        return Client(self.admin, 'tester', OPERATOR_SECRET.encode())
-
-    def metrics(self) -> dict[str, float]:
-        """Fetch all metrics of the node."""
-        body = call_http(self.admin, 'GET', '/metrics')
-        return msgspec.json.decode(body)
-
-    def log_lines(self) -> list[dict[str, Any]]:
-        """Return all structured lines of the node's log."""
-        lines = self.process.log.read_bytes().splitlines()
-        return [
-            msgspec.json.decode(line) for line in lines if line.startswith(b'{')
-        ]
 
 
 class Fleet:
@@ -572,68 +370,6 @@
     ]
 
 
-def wait_until(
-    is_reached: Callable[[], bool],
-    state_name: str,
-    seconds: float = START_TIMEOUT_SECONDS,
-) -> float:
-    """Poll until a state is reached and return the seconds it took.
-
-    Failed calls count as not reached. Raises `WaitTimeout` after `seconds`.
-    """
-    started_at = time.monotonic()
-    while time.monotonic() - started_at < seconds:
-        with suppress(ClientError, OSError):
-            if is_reached():
-                return time.monotonic() - started_at
-        time.sleep(POLL_INTERVAL_SECONDS)
-    raise WaitTimeout(f'{state_name} was not reached within {seconds:.0f} s')
-
-
-def call_http(
-    address: str,
-    method: str,
-    path: str,
-    body: bytes = b'',
-) -> bytes:
-    """Send an HTTP request and return the response body of any status."""
-    connection = HTTPConnection(address, timeout=10)
-    try:
-        connection.request(method, path, body)
-        return connection.getresponse().read()
-    finally:
-        connection.close()
-
-
-def loopback_address(port: int) -> str:
-    """Return the loopback address with a port."""
-    return f'127.0.0.1:{port}'
-
-
-def free_port() -> int:
-    """Find a port on loopback that no process has bound."""
-    for port in _ports:
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-            return port
-    raise FleetError(
-        f'no free port on loopback from {FIRST_PORT} to {PORT_LIMIT - 1}',
-    )
-
-
-def is_open(address: str) -> bool:
-    """Check whether a connection to an address succeeds."""
-    host, _, port = address.rpartition(':')
-    try:
-        socket.create_connection((host, int(port)), timeout=1).close()
-    except OSError:
-        return False
-    return True
-
-
 def _copy_logs(directory: Path, target: Path) -> None:
     target.mkdir(parents=True, exist_ok=True)
     for log in directory.glob('*.log'):
--- a/packages/standins/src/kumquathold_standins/fleet_slopes.py
+++ b/packages/standins/src/kumquathold_standins/fleet_slopes.py
@@ -15,7 +15,9 @@
 import psutil
 
 from kumquathold_standins import fleet as fleets
-from kumquathold_standins.fleet import Fleet, Spec, Vm
+from kumquathold_standins import processes
+from kumquathold_standins.fleet import Fleet
+from kumquathold_standins.fleet_spec import Spec, Vm
 from kumquathold_standins.slopes import KIB, Slope
 
 NODE_COUNTS = (8, 32, 96)
@@ -41,7 +43,7 @@
     """Messages sent to peers."""
 
 
-def read_usage(node: fleets.Node) -> NodeUsage:
+def read_usage(node: processes.Node) -> NodeUsage:
     """Read the usage of a node."""
     times = psutil.Process(node.process.pid).cpu_times()
     metrics = node.metrics()
--- a/packages/standins/src/kumquathold_standins/measure.py
+++ b/packages/standins/src/kumquathold_standins/measure.py
@@ -22,10 +22,11 @@
 import psutil
 
 from kumquathold_core.rules import digest_key
-from kumquathold_standins import conditions
+from kumquathold_standins import conditions, fleet_spec, loopback, processes
 from kumquathold_standins import fleet as fleets
 from kumquathold_standins.conditions import CONDITIONS, Condition
-from kumquathold_standins.fleet import Fleet, Spec
+from kumquathold_standins.fleet import Fleet
+from kumquathold_standins.fleet_spec import Spec
 from kumquathold_standins.load import Stream, StreamResult, run_load
 
 mpl.use('Agg')
@@ -394,7 +395,7 @@
                 ]
             self.samples.append({name for names in lists for name in names})
 
-    def _list_ejected(self, node: fleets.Node) -> list[str]:
+    def _list_ejected(self, node: processes.Node) -> list[str]:
         try:
             by_service = node.client.get_json('/status')['ejected']
         except Exception:  # noqa: BLE001
@@ -404,7 +405,7 @@
 
 def fetch_naive_state(address: str) -> NaiveState:
     """Request the state of a naive proxy."""
-    body = fleets.call_http(address, 'GET', '/_state')
+    body = loopback.call_http(address, 'GET', '/_state')
     return msgspec.json.decode(body, type=NaiveState)
 
 
@@ -479,7 +480,7 @@
     relayed: bool,
 ) -> Iterator[Bench]:
     """Run a fleet and the naive proxies in front of the same upstreams."""
-    spec = Spec(vms=fleets.six_zones(SERVICE), relayed=relayed)
+    spec = Spec(vms=fleet_spec.six_zones(SERVICE), relayed=relayed)
     with fleets.running_fleet(spec) as fleet:
         fleet.accept(make_rules())
         fleet.wait_for_rate_holders()
@@ -488,7 +489,7 @@
         rules.write_text(make_rules())
         upstreams = ','.join(one.address for one in fleet.upstreams)
         for number, _ in enumerate(fleet.nodes):
-            address = fleets.loopback_address(fleets.free_port())
+            address = loopback.loopback_address(loopback.free_port())
             fleet.spawn(
                 f'naive-{number}',
                 'kumquathold_standins.naive',
@@ -498,8 +499,8 @@
                 nodes=len(fleet.nodes),
             )
             bench.naive_addresses.append(address)
-        fleets.wait_until(
-            lambda: all(fleets.is_open(one) for one in bench.naive_addresses),
+        loopback.wait_until(
+            lambda: all(loopback.is_open(one) for one in bench.naive_addresses),
             'naive proxies',
         )
         bench.warm_up()
--- a/packages/standins/src/kumquathold_standins/soak.py
+++ b/packages/standins/src/kumquathold_standins/soak.py
@@ -25,7 +25,8 @@
 import msgspec
 
 from kumquathold_standins import soak_context, soak_faults, soak_load
-from kumquathold_standins.fleet import ZONES, Fleet, Spec, Vm, running_fleet
+from kumquathold_standins.fleet import Fleet, running_fleet
+from kumquathold_standins.fleet_spec import ZONES, Spec, Vm
 from kumquathold_standins.soak_checks import (
     GRACE_SECONDS,
     MAX_ACTIVATION_SECONDS,
--- a/packages/standins/src/kumquathold_standins/soak_context.py
+++ b/packages/standins/src/kumquathold_standins/soak_context.py
@@ -10,14 +10,9 @@
 from functools import partial
 from http.client import HTTPException
 
-from kumquathold_standins.fleet import (
-    Fleet,
-    Node,
-    Process,
-    Upstream,
-    is_open,
-    wait_until,
-)
+from kumquathold_standins.fleet import Fleet
+from kumquathold_standins.loopback import is_open, wait_until
+from kumquathold_standins.processes import Node, Process, Upstream
 from kumquathold_standins.relay import Link
 from kumquathold_standins.soak_history import Recorder, ShutdownRecord
 from kumquathold_standins.soak_load import RestartCounter
--- a/packages/standins/src/kumquathold_standins/soak_load.py
+++ b/packages/standins/src/kumquathold_standins/soak_load.py
@@ -21,7 +21,8 @@
 from kumquathold_core.forwarding import Outcome
 from kumquathold_core.rules import digest_key
 from kumquathold_standins.caller import Caller, Response
-from kumquathold_standins.fleet import Fleet, Node
+from kumquathold_standins.fleet import Fleet
+from kumquathold_standins.processes import Node
 from kumquathold_standins.soak_checks import (
     GUEST_KIND,
     LIMITED_BURST,
--- a/tests/support.py
+++ b/tests/support.py
@@ -4,7 +4,7 @@
 
 from kumquathold_core.identity import NodeRecord, UpstreamRecord
 from kumquathold_core.rules import digest_key
-from kumquathold_standins.fleet import Spec, Vm, six_zones
+from kumquathold_standins.fleet_spec import Spec, Vm, six_zones
 
 KEYS = {
     'dealers': 'kq_dealers1_0123456789abcdef',
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,12 +8,9 @@
 import unittest
 
 from kumquathold_standins.caller import Caller
-from kumquathold_standins.fleet import (
-    Fleet,
-    Upstream,
-    running_fleet,
-    wait_until,
-)
+from kumquathold_standins.fleet import Fleet, running_fleet
+from kumquathold_standins.loopback import wait_until
+from kumquathold_standins.processes import Upstream
 from tests.support import ASKED, KEYS, make_rules, small_spec
 
 PROBLEM_MEDIA_TYPE = 'application/problem+json'
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -12,7 +12,8 @@
 from kumquathold_cli import main as cli
 from kumquathold_node import settings as node_settings
 from kumquathold_standins.caller import Caller
-from kumquathold_standins.fleet import Fleet, running_fleet, wait_until
+from kumquathold_standins.fleet import Fleet, running_fleet
+from kumquathold_standins.loopback import wait_until
 from tests.support import ASKED, KEYS, make_rules, small_spec
 
 
--- a/tests/test_configuration_fleet.py
+++ b/tests/test_configuration_fleet.py
@@ -8,7 +8,9 @@
 
 from kumquathold_cli import changes
 from kumquathold_cli.client import CallRefused, ClientError
-from kumquathold_standins.fleet import Fleet, Node, running_fleet, wait_until
+from kumquathold_standins.fleet import Fleet, running_fleet
+from kumquathold_standins.loopback import wait_until
+from kumquathold_standins.processes import Node
 from tests.support import ASKED, make_rules, small_spec
 
 PROPAGATION_TIMEOUT_SECONDS = 5.0
--- a/tests/test_faulty_requests.py
+++ b/tests/test_faulty_requests.py
@@ -10,7 +10,8 @@
 
 from kumquathold_core import distribution, wire
 from kumquathold_standins.caller import Caller, Response
-from kumquathold_standins.fleet import Fleet, running_fleet, wait_until
+from kumquathold_standins.fleet import Fleet, running_fleet
+from kumquathold_standins.loopback import wait_until
 from tests.support import KEYS, make_rules, small_spec
 
 POISONOUS_PATH = '/diffs/poison'
--- a/tests/test_floor_fleet.py
+++ b/tests/test_floor_fleet.py
@@ -9,7 +9,8 @@
 
 from kumquathold_cli.client import ClientError
 from kumquathold_standins.caller import Caller
-from kumquathold_standins.fleet import Fleet, Node, running_fleet
+from kumquathold_standins.fleet import Fleet, running_fleet
+from kumquathold_standins.processes import Node
 from tests.support import KEYS, make_rules, wide_spec
 
 FLOOR_SHARE = 0.5
--- a/tests/test_keys_fleet.py
+++ b/tests/test_keys_fleet.py
@@ -9,7 +9,8 @@
 
 from kumquathold_cli import changes, keys
 from kumquathold_standins.caller import Caller
-from kumquathold_standins.fleet import Fleet, Node, running_fleet
+from kumquathold_standins.fleet import Fleet, running_fleet
+from kumquathold_standins.processes import Node
 from tests.support import KEYS, make_rules, small_spec
 
 MAX_WITHDRAWAL_SECONDS = 5.0
--- a/tests/test_late_messages.py
+++ b/tests/test_late_messages.py
@@ -10,13 +10,9 @@
 import unittest
 
 from kumquathold_standins.caller import Caller, Response
-from kumquathold_standins.fleet import (
-    Fleet,
-    Spec,
-    Vm,
-    running_fleet,
-    wait_until,
-)
+from kumquathold_standins.fleet import Fleet, running_fleet
+from kumquathold_standins.fleet_spec import Spec, Vm
+from kumquathold_standins.loopback import wait_until
 from tests.support import KEYS, make_rules
 
 NOTE_DEADLINE_SECONDS = 5.0
--- a/tests/test_left_upstreams.py
+++ b/tests/test_left_upstreams.py
@@ -16,7 +16,7 @@
 from kumquathold_core.wire import Envelope
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import DeparturesLearnedEvent, Membership
-from kumquathold_standins.fleet import Node
+from kumquathold_standins.processes import Node
 from tests.owner_stage import OwnerStage
 from tests.support import make_node_record
 from tests.test_stated_limits import (
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -9,7 +9,9 @@
 from kumquathold_cli.client import CallRefused
 from kumquathold_node.claims_service import STORE_BACKOFF_SECONDS
 from kumquathold_standins.caller import Caller, Response
-from kumquathold_standins.fleet import Fleet, Node, running_fleet, wait_until
+from kumquathold_standins.fleet import Fleet, running_fleet
+from kumquathold_standins.loopback import wait_until
+from kumquathold_standins.processes import Node
 from tests.support import KEYS, make_rules, small_spec
 
 
--- a/tests/test_rate_handover.py
+++ b/tests/test_rate_handover.py
@@ -12,7 +12,9 @@
 from kumquathold_node import rate_holder
 from kumquathold_node.process_clock import read_boot_clock
 from kumquathold_node.rate_holder import HoldGroupsCommand
-from kumquathold_standins.fleet import Fleet, Node, running_fleet, wait_until
+from kumquathold_standins.fleet import Fleet, running_fleet
+from kumquathold_standins.loopback import wait_until
+from kumquathold_standins.processes import Node
 from tests import test_rate_election, test_rate_holder, test_rates_fleet
 from tests.support import make_rules, wide_spec
 from tests.test_rates_fleet import compute_max_excess, find_hot_rate_holder
--- a/tests/test_rates_fleet.py
+++ b/tests/test_rates_fleet.py
@@ -7,8 +7,9 @@
 import unittest
 
 from kumquathold_core.token_bucket import rate_group_of
-from kumquathold_standins.fleet import Fleet, Node, running_fleet
+from kumquathold_standins.fleet import Fleet, running_fleet
 from kumquathold_standins.load import Stream, StreamResult, run_load
+from kumquathold_standins.processes import Node
 from tests.support import KEYS, make_rules, wide_spec
 
 RATE = 20
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -13,13 +13,9 @@
 from collections import Counter
 
 from kumquathold_standins.caller import Caller, Response
-from kumquathold_standins.fleet import (
-    Fleet,
-    Node,
-    is_open,
-    running_fleet,
-    wait_until,
-)
+from kumquathold_standins.fleet import Fleet, running_fleet
+from kumquathold_standins.loopback import is_open, wait_until
+from kumquathold_standins.processes import Node
 from tests.support import KEYS, make_rules, small_spec, wide_spec
 
 MAX_WITHDRAWAL_SECONDS = 3.0
--- a/tests/test_silent_owner.py
+++ b/tests/test_silent_owner.py
@@ -7,13 +7,9 @@
 import unittest
 
 from kumquathold_standins.caller import Caller, Response
-from kumquathold_standins.fleet import (
-    Fleet,
-    Spec,
-    Vm,
-    running_fleet,
-    wait_until,
-)
+from kumquathold_standins.fleet import Fleet, running_fleet
+from kumquathold_standins.fleet_spec import Spec, Vm
+from kumquathold_standins.loopback import wait_until
 from tests.support import ASKED, KEYS, make_rules
 
 RUN_SECONDS = 0.5
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -9,14 +9,9 @@
 from contextlib import contextmanager
 
 from kumquathold_standins.caller import Caller, Response
-from kumquathold_standins.fleet import (
-    Fleet,
-    Node,
-    Upstream,
-    is_open,
-    running_fleet,
-    wait_until,
-)
+from kumquathold_standins.fleet import Fleet, running_fleet
+from kumquathold_standins.loopback import is_open, wait_until
+from kumquathold_standins.processes import Node, Upstream
 from tests.support import make_rules, small_spec
 
 LIMIT_PER_SECOND = 1.0
