--- a/packages/node/src/kumquathold_node/rate_election.py
+++ b/packages/node/src/kumquathold_node/rate_election.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from concurrent.futures import Future
-from time import monotonic
 
 import msgspec
 from loguru import logger
@@ -19,12 +18,9 @@
     store_keys,
     token_bucket,
 )
+from kumquathold_node.holder_contacts import HolderContacts
 from kumquathold_node.kernel import Kernel, Task
-from kumquathold_node.membership import (
-    GroupsHeldEvent,
-    Membership,
-    WatchPeersCommand,
-)
+from kumquathold_node.membership import GroupsHeldEvent, Membership
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.process_clock import read_boot_clock
 from kumquathold_node.rate_holder import HoldGroupsCommand, RateHolder
@@ -48,8 +44,6 @@
 """Time without a check after which the process counts as paused."""
 
 HOLDER_TIMEOUT_SECONDS = 2.0
-MAX_CONTACTS = 16
-"""Most nodes of the region that a holder asks whether they hear it."""
 
 
 class HolderRecord(msgspec.Struct, frozen=True):
@@ -103,7 +97,7 @@
         self.paused_at = 0.0
         self.yielded_at = 0.0
         """When it last stopped granting, as most of its region was silent."""
-        self.contacts: tuple[str, ...] = ()
+        self.contacts = HolderContacts(self.membership, settings)
         # Set to 0 once this process has tried to acquire the groups that an
         # earlier process at this address held.
         self.started_at = read_boot_clock()
@@ -133,7 +127,9 @@
             self.store_failed_at = check_started_at
             self.metrics.count('rates.store_unavailable')
             logger.debug('rate election failed', cause=str(error))
-        self._watch_contacts()
+        self.contacts.watch(
+            is_needed=bool(self.ready_at) and self._is_store_failing()
+        )
         self._extend_validity()
         self.checked_at = read_boot_clock()
 
@@ -186,36 +182,14 @@
             self.ready_at[group] = ready_at
         self._publish()
 
+    def _is_store_failing(self) -> bool:
+        """Whether a call to the store has failed since the last renewal."""
+        return self.store_failed_at > self.kept_alive_at
+
     def _may_have_successor(self) -> bool:
         """Whether the node may have been declared dead since its renewal."""
         return max(self.paused_at, self.yielded_at) > self.kept_alive_at
 
-    def _watch_contacts(self) -> None:
-        """Have nodes of the region answer heartbeats while the store fails."""
-        contacts: tuple[str, ...] = ()
-        if self.ready_at and self.store_failed_at > self.kept_alive_at:
-            contacts = self._select_contacts()
-        if contacts != self.contacts:
-            self.contacts = contacts
-            self.membership.task.post(WatchPeersCommand(contacts))
-
-    def _select_contacts(self) -> tuple[str, ...]:
-        """Return other nodes of the region, dead ones included.
-
-        They are the same in each check, as long as the region is.
-        """
-        view = self.membership.view
-        own = self.settings.peer
-        others = [
-            node
-            for node in (*view.nodes, *view.lost)
-            if node.region == self.settings.region
-            and not node.leaving
-            and node.address != own
-        ]
-        ranked = member_table.rank_by_rendezvous(others, f'contacts {own}')
-        return tuple(node.address for node in ranked[:MAX_CONTACTS])
-
     def _extend_validity(self) -> None:
         """Extend the time until which tokens of the groups may be granted.
 
@@ -240,16 +214,9 @@
         After a pause of this process, or once most of its region was silent,
         another node may have taken them, until the store responds.
         """
-        is_store_failing = self.store_failed_at > self.kept_alive_at
-        if not is_store_failing or self._may_have_successor():
+        if not self._is_store_failing() or self._may_have_successor():
             return 0.0
-        answered_at = [
-            self.membership.get_last_answer_time(peer) for peer in self.contacts
-        ]
-        steady_now = monotonic()
-        silent_for = steady_now - holder_validity.find_quorum_time(
-            answered_at, steady_now
-        )
+        silent_for = self.contacts.measure_silence()
         if silent_for >= holder_validity.CONTACT_SECONDS:
             self._yield_groups(now, silent_for)
             return 0.0
@@ -266,7 +233,7 @@
             groups=sorted(self.ready_at),
             lease_age=round(now - self.kept_alive_at, 3),
             silent_for=round(silent_for, 3),
-            contacts=len(self.contacts),
+            contacts=len(self.contacts.peers),
         )
 
     def _acquire_free_groups(self) -> None:
