--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -368,13 +368,7 @@
         request.is_slot_free = True
         upstream = self.upstreams.get(request.message.upstream)
         if upstream is not None:
-            owner_outcomes.record_outcome(
-                upstream,
-                request,
-                self.metrics,
-                seconds=0,
-                failed=True,
-            )
+            owner_outcomes.record_failure(upstream, request, self.metrics)
         self._free_slot(request)
 
     def on_call_failed(self, failed: CallFailedEvent) -> None:
@@ -389,13 +383,7 @@
             and not is_counted
             and owner_outcomes.is_gray_failure(upstream, request, failure)
         ):
-            owner_outcomes.record_outcome(
-                upstream,
-                request,
-                self.metrics,
-                seconds=0,
-                failed=True,
-            )
+            owner_outcomes.record_failure(upstream, request, self.metrics)
         if failure.crashed and owner_outcomes.may_have_crashed(
             upstream, request
         ):
--- a/packages/node/src/kumquathold_node/owner_outcomes.py
+++ b/packages/node/src/kumquathold_node/owner_outcomes.py
@@ -69,6 +69,13 @@
     end_trial(upstream, request)
 
 
+def record_failure(
+    upstream: Upstream, request: OwnerRequest, metrics: Metrics
+) -> None:
+    """Update failure risk with a call that got no usable response."""
+    record_outcome(upstream, request, metrics, seconds=0, failed=True)
+
+
 def may_stem_from_failed_call(
     request: OwnerRequest, calls: CallFailures
 ) -> bool:
