Refuse a request once two owners had no time for it

Cause: a refusal as overloaded says that the request could not end in time though it might wait there until its deadline. It was taken like any other refusal and tried at up to eight owners, after up to five that had returned it as busy.

Now two such owners are enough.

--- a/packages/core/src/kumquathold_core/retries.py
+++ b/packages/core/src/kumquathold_core/retries.py
@@ -27,6 +27,13 @@
 MAX_TOTAL_ATTEMPTS = 8
 """Attempts of one request, including those that reached no upstream."""
 
+MAX_OVERLOADED_OWNERS = 2
+"""Owners without time for a request after which it is refused.
+
+Each may hold the request until its deadline, so they say that this is too long.
+Under such a load a slot that is free elsewhere is taken by others.
+"""
+
 FINAL_REFUSALS = frozenset(
     (
         Refusal.cancelled,
@@ -156,14 +163,17 @@
     claimed: bool,
     attempts: int,
     crashed: int,
+    overloaded: int = 0,
     max_attempts: int = MAX_ATTEMPTS,
 ) -> bool:
     """Return whether to retry, regardless of the budget.
 
     `attempts` counts the attempts so far that may have reached an upstream,
     of which `max_attempts` are allowed. `crashed` counts those that crashed
-    an upstream.
+    an upstream, and `overloaded` those that an owner had no time for.
     """
+    if overloaded >= MAX_OVERLOADED_OWNERS:
+        return False
     if attempts >= max_attempts or crashed >= MAX_CRASHES:
         return False
     return is_repeatable(failure, idempotent=idempotent, claimed=claimed)
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -104,6 +104,9 @@
     crashes: int = 0
     """Attempts that crashed an upstream."""
 
+    overloaded: int = 0
+    """Owners that had no time left for the request."""
+
     response: CallerResponse | None = None
     """The latest error response of an upstream."""
 
@@ -281,6 +284,7 @@
             history.outcomes.append(ended.outcome)
             history.arrivals += int(retries.may_have_arrived(ended))
             history.crashes += 1 if ended.crashed else 0
+            history.overloaded += int(ended.reason == Refusal.overloaded)
             if not self._may_retry(admitted, history, ended):
                 return self._give_up(history, ended)
             history.failure = ended
@@ -321,6 +325,7 @@
             claimed=bool(admitted.claim),
             attempts=history.arrivals,
             crashed=history.crashes,
+            overloaded=history.overloaded,
         )
         is_in_time = monotonic() < admitted.deadline
         is_bounded = len(history.outcomes) < retries.MAX_TOTAL_ATTEMPTS
