Tell a node that has started which requests crash upstreams

A request that has crashed two upstreams is refused by all owners, as each crash is told to all peers. An owner that restarted had forgotten it, and nobody told it again: the request came back through that node, ran and took its upstream down (the test failed before: no upstream was left).

A peer that requests the member table and knows at most half of it has just started, and is now sent the crashes of the last ten minutes with their age, 256 at most. An older report does not shorten what is known. A node that was cut off at the moment of a crash is not covered (INVARIANTS, Not proved).

--- a/packages/core/src/kumquathold_core/crash_tracker.py
+++ b/packages/core/src/kumquathold_core/crash_tracker.py
@@ -76,10 +76,22 @@
         self._drop_expired(now)
         record = self.records.pop(fingerprint, None) or CrashRecord(set(), now)
         record.upstreams.add(upstream)
-        record.expires_at = now + REFUSAL_SECONDS
+        record.expires_at = max(record.expires_at, now + REFUSAL_SECONDS)
         self.records[fingerprint] = record
         return len(record.upstreams)
 
+    def list_crashes(self, now: float) -> list[tuple[bytes, str, float]]:
+        """List the recorded crashes: fingerprint, upstream and age in seconds.
+
+        The age is that of the request's latest crash.
+        """
+        return [
+            (fingerprint, upstream, now + REFUSAL_SECONDS - record.expires_at)
+            for fingerprint, record in self.records.items()
+            if record.expires_at > now
+            for upstream in record.upstreams
+        ]
+
     def is_refused(self, fingerprint: bytes, now: float) -> bool:
         """Return whether the request must not run.
 
--- a/packages/core/src/kumquathold_core/forwarding.py
+++ b/packages/core/src/kumquathold_core/forwarding.py
@@ -297,3 +297,6 @@
 
     upstream: str
     """Name of the upstream that crashed."""
+
+    age: float = 0.0
+    """Seconds since the request last crashed an upstream."""
--- a/packages/node/src/kumquathold_node/crash_reports.py
+++ b/packages/node/src/kumquathold_node/crash_reports.py
@@ -9,7 +9,7 @@
 
 from kumquathold_core import crash_tracker, forwarding
 from kumquathold_node.kernel import Kernel
-from kumquathold_node.membership import Membership
+from kumquathold_node.membership import Membership, PeerStartedEvent
 from kumquathold_node.owner_requests import OwnerRequest
 from kumquathold_node.transport import Transport
 
@@ -17,6 +17,10 @@
     from kumquathold_core.wire import Envelope
 
 
+MAX_TOLD_CRASHES = 256
+"""Most crashes that a node which has started is told of."""
+
+
 class CrashReports:
     """The crashes that this owner has seen or heard of.
 
@@ -35,9 +39,19 @@
         """Record a crash that a peer reports."""
         notice = envelope.message
         self.tracker.record_crash(
-            notice.fingerprint, notice.upstream, monotonic()
+            notice.fingerprint, notice.upstream, monotonic() - notice.age
         )
 
+    def on_peer_started(self, event: PeerStartedEvent) -> None:
+        """Tell a node that has started which requests crash upstreams.
+
+        Its earlier process may have known, and it is asked to run them again.
+        """
+        crashes = self.tracker.list_crashes(monotonic())
+        for fingerprint, upstream, age in crashes[-MAX_TOLD_CRASHES:]:
+            notice = forwarding.CrashNotice(fingerprint, upstream, age)
+            self.transport.try_send(event.peer, notice)
+
     def record_success(self, request: OwnerRequest) -> None:
         """Record that a request was answered, so it is no cause of a crash."""
         self.tracker.record_success(request.fingerprint, monotonic())
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -50,6 +50,9 @@
 NOTICE_ZONE_FANOUT = 3
 """Peers of the own zone that a version notice is sent to."""
 
+STARTED_PEER_SHARE = 0.5
+"""Share of the known nodes that a peer which has just started knows at most."""
+
 DEAD_PING_SECONDS = 1.0
 """Interval of the heartbeats to a random dead node."""
 
@@ -78,6 +81,13 @@
     """These upstreams."""
 
 
+class PeerStartedEvent(msgspec.Struct, frozen=True):
+    """A peer that knows little of the fleet has requested the member table."""
+
+    peer: str
+    """Its address."""
+
+
 class LeaveCommand(msgspec.Struct, frozen=True):
     """Publish that this node drains and takes no new requests."""
 
@@ -336,6 +346,10 @@
         updates = self.table.list_missing_updates(
             envelope.message.record_hashes
         )
+        known_count = len(envelope.message.record_hashes)
+        if known_count <= len(self.table.members) * STARTED_PEER_SHARE:
+            started = PeerStartedEvent(envelope.sender)
+            self.kernel.find('owner').task.post(started)
         self._merge(envelope.message.updates)
         for start in range(0, len(updates), SYNC_BATCH_RECORDS):
             batch = tuple(updates[start : start + SYNC_BATCH_RECORDS])
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -30,7 +30,11 @@
 from kumquathold_node.crash_reports import CrashReports
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.kernel import Kernel, Task
-from kumquathold_node.membership import DeparturesLearnedEvent, Membership
+from kumquathold_node.membership import (
+    DeparturesLearnedEvent,
+    Membership,
+    PeerStartedEvent,
+)
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner_calls import (
     CallBrokenEvent,
@@ -114,6 +118,7 @@
                 forwarding.StatusRequest: self.on_status_request,
                 forwarding.CancelRequest: self.on_cancel_request,
                 forwarding.CrashNotice: self.crash_reports.on_crash_notice,
+                PeerStartedEvent: self.crash_reports.on_peer_started,
                 claims_service.ClaimGrantedEvent: self.on_claim_granted,
                 claims_service.ClaimRefusedEvent: self.on_claim_refused,
                 claims_service.OutcomeStoredEvent: self.on_outcome_stored,
