--- a/packages/core/src/kumquathold_core/crash_tracker.py
+++ b/packages/core/src/kumquathold_core/crash_tracker.py
@@ -29,6 +29,19 @@
     """When the record expires, in seconds of the monotonic clock."""
 
 
+class KnownCrash(msgspec.Struct, frozen=True):
+    """A crash as it is told to other nodes."""
+
+    fingerprint: bytes
+    """Digest of the request, see `fingerprint_request`."""
+
+    upstream: str
+    """Name of the upstream that crashed."""
+
+    age: float
+    """Seconds since the request last crashed an upstream."""
+
+
 def fingerprint_request(
     workspace: str,
     method: str,
@@ -80,13 +93,14 @@
         self.records[fingerprint] = record
         return len(record.upstreams)
 
-    def list_crashes(self, now: float) -> list[tuple[bytes, str, float]]:
-        """List the recorded crashes: fingerprint, upstream and age in seconds.
-
-        The age is that of the request's latest crash.
-        """
+    def list_crashes(self, now: float) -> list[KnownCrash]:
+        """List the recorded crashes, those of the latest requests last."""
         return [
-            (fingerprint, upstream, now + REFUSAL_SECONDS - record.expires_at)
+            KnownCrash(
+                fingerprint,
+                upstream,
+                age=now + REFUSAL_SECONDS - record.expires_at,
+            )
             for fingerprint, record in self.records.items()
             if record.expires_at > now
             for upstream in record.upstreams
--- a/packages/node/src/kumquathold_node/crash_reports.py
+++ b/packages/node/src/kumquathold_node/crash_reports.py
@@ -48,8 +48,12 @@
         Its earlier process may have known, and it is asked to run them again.
         """
         crashes = self.tracker.list_crashes(monotonic())
-        for fingerprint, upstream, age in crashes[-MAX_TOLD_CRASHES:]:
-            notice = forwarding.CrashNotice(fingerprint, upstream, age)
+        for crash in crashes[-MAX_TOLD_CRASHES:]:
+            notice = forwarding.CrashNotice(
+                fingerprint=crash.fingerprint,
+                upstream=crash.upstream,
+                age=crash.age,
+            )
             self.transport.try_send(event.peer, notice)
 
     def record_success(self, request: OwnerRequest) -> None:
