--- a/packages/standins/src/kumquathold_standins/measure.py
+++ b/packages/standins/src/kumquathold_standins/measure.py
@@ -6,10 +6,7 @@
 
 from __future__ import annotations
 
-import csv
 import statistics
-import subprocess  # noqa: S404
-import threading
 import time
 from collections import Counter
 from collections.abc import Iterator
@@ -17,20 +14,24 @@
 from pathlib import Path
 
 import click
-import matplotlib as mpl
-import msgspec
-import psutil
 
 from kumquathold_core.rules import digest_key
-from kumquathold_standins import conditions, fleet_spec, loopback, processes
+from kumquathold_standins import conditions, fleet_spec, loopback
 from kumquathold_standins import fleet as fleets
 from kumquathold_standins.conditions import CONDITIONS, Condition
 from kumquathold_standins.fleet import Fleet
 from kumquathold_standins.fleet_spec import Spec
 from kumquathold_standins.load import Stream, StreamResult, run_load
-
-mpl.use('Agg')
-from matplotlib import pyplot as plt  # noqa: E402
+from kumquathold_standins.measure_observers import (
+    Detection,
+    EjectionMonitor,
+    Usage,
+)
+from kumquathold_standins.measure_report import (
+    Row,
+    describe_row,
+    write_report,
+)
 
 QUICK_LOAD_SECONDS = 6.0
 FULL_LOAD_SECONDS = 8.0
@@ -39,7 +40,6 @@
 SETTLE_TIMEOUT_SECONDS = 20.0
 """Longest wait for reinstatement of ejected upstreams between conditions."""
 
-POLL_INTERVAL_SECONDS = 0.1
 WORKSPACE_RATES = {'large': 60.0, 'middle': 24.0, 'small': 12.0}
 """Requests a second that each workspace sends."""
 
@@ -55,62 +55,6 @@
 """Share of an even load below which the gray upstream counts as detected."""
 
 DETECTION_WINDOW_SECONDS = 0.5
-MIB = 1024 * 1024
-
-
-class Row(msgspec.Struct, frozen=True):
-    """Result of one proxy under one condition, for one seed."""
-
-    condition: str
-    """Name of the condition."""
-
-    proxy: str
-    """`kumquathold` or `naive`."""
-
-    seed: int
-    """Number of the repetition, from 1."""
-
-    sent: int
-    """Requests of the workspaces that stay within their rate."""
-
-    failed: int
-    """Of these, requests not refused that got status 500 or above, or none."""
-
-    refused: int
-    """Of these, requests refused although they were within the rate."""
-
-    added_p50: float
-    """Median latency above that of direct calls to the upstreams, in ms."""
-
-    added_p99: float
-    """The same for the 99th percentile."""
-
-    worst_p99: float
-    """Highest p99 latency of a workspace, divided by the median workspace's."""
-
-    detection: float
-    """Seconds until the gray upstream got under half an even share of requests.
-
-    -1 if it was not detected or the condition has no gray upstream.
-    """
-
-    gray_runs: int
-    """Requests that the gray upstream ran until then, per node."""
-
-    false_ejections: int
-    """Most upstreams, apart from the gray one, ejected at the same time."""
-
-    retries: float
-    """Retries per request sent."""
-
-    platform_calls: float
-    """Platform calls per second of all nodes together."""
-
-    processor: float
-    """Processor cores that the busiest node used."""
-
-    memory: float
-    """Resident memory of the largest node, in MiB."""
 
 
 class Bench:
@@ -275,140 +219,6 @@
         )
 
 
-class Detection(msgspec.Struct, frozen=True):
-    """When the gray upstream was detected."""
-
-    seconds: float
-    """Seconds since the fault began; -1 if it was not detected."""
-
-    runs: int
-    """Requests that it ran until then, per node."""
-
-
-class Usage(msgspec.Struct, frozen=True):
-    """Resources used up to one moment, or the difference between two.
-
-    Processor time is in seconds, memory in MiB.
-    """
-
-    retries: float
-    naive_retries: float
-    platform_calls: float
-    processor: float
-    memory: float
-    processor_by_pid: dict[int, float]
-
-    @classmethod
-    def read(cls, bench: Bench) -> Usage:
-        """Read the counters of all nodes and naive proxies."""
-        fleet = bench.fleet
-        retries = 0.0
-        processor_by_pid = {}
-        memory = 0.0
-        for node in fleet.nodes:
-            process = psutil.Process(node.process.pid)
-            cpu_times = process.cpu_times()
-            processor_by_pid[node.process.pid] = (
-                cpu_times.user + cpu_times.system
-            )
-            memory = max(memory, process.memory_info().rss / MIB)
-            retries += sum(
-                count
-                for name, count in node.metrics().items()
-                if name.startswith('ingress.retries.')
-            )
-        naive = [
-            fetch_naive_state(address).retries
-            for address in bench.naive_addresses
-        ]
-        return cls(
-            retries=retries,
-            naive_retries=sum(naive),
-            platform_calls=sum(fleet.platform_calls().values()),
-            processor=0.0,
-            memory=memory,
-            processor_by_pid=processor_by_pid,
-        )
-
-    def retries_of(self, proxy: str) -> float:
-        """Return the retries of the fleet or of the naive proxies."""
-        return self.naive_retries if proxy == 'naive' else self.retries
-
-    def since(self, before: Usage) -> Usage:
-        """Return the difference from an earlier reading."""
-        busiest = max(
-            cpu_seconds - before.processor_by_pid.get(pid, 0.0)
-            for pid, cpu_seconds in self.processor_by_pid.items()
-        )
-        return Usage(
-            retries=max(self.retries - before.retries, 0),
-            naive_retries=self.naive_retries - before.naive_retries,
-            platform_calls=self.platform_calls - before.platform_calls,
-            processor=busiest,
-            memory=self.memory,
-            processor_by_pid={},
-        )
-
-
-class NaiveState(msgspec.Struct, frozen=True):
-    """State that a naive proxy reports."""
-
-    ejected: list[str]
-    retries: int
-
-
-class EjectionMonitor:
-    """Samples which upstreams are ejected while a condition is measured."""
-
-    def __init__(self, bench: Bench, *, is_naive: bool) -> None:
-        """Sample the naive proxies or the fleet."""
-        self.bench = bench
-        self.is_naive = is_naive
-        self.stopped = threading.Event()
-        self.samples: list[set[str]] = []
-
-    @contextmanager
-    def running(self) -> Iterator[None]:
-        """Take samples periodically while the block runs."""
-        thread = threading.Thread(target=self._poll)
-        thread.start()
-        try:
-            yield
-        finally:
-            self.stopped.set()
-            thread.join()
-
-    def max_false_ejections(self, gray: set[str]) -> int:
-        """Return the most upstreams, apart from gray ones, ejected at once."""
-        return max((len(out - gray) for out in self.samples), default=0)
-
-    def _poll(self) -> None:
-        while not self.stopped.wait(POLL_INTERVAL_SECONDS):
-            if self.is_naive:
-                lists = [
-                    fetch_naive_state(address).ejected
-                    for address in self.bench.naive_addresses
-                ]
-            else:
-                lists = [
-                    self._list_ejected(node) for node in self.bench.fleet.nodes
-                ]
-            self.samples.append({name for names in lists for name in names})
-
-    def _list_ejected(self, node: processes.Node) -> list[str]:
-        try:
-            by_service = node.client.get_json('/status')['ejected']
-        except Exception:  # noqa: BLE001
-            return []
-        return [name for names in by_service.values() for name in names]
-
-
-def fetch_naive_state(address: str) -> NaiveState:
-    """Request the state of a naive proxy."""
-    body = loopback.call_http(address, 'GET', '/_state')
-    return msgspec.json.decode(body, type=NaiveState)
-
-
 def detect_gray(
     all_run_times: list[float], gray_run_times: list[float], nodes: int
 ) -> Detection:
@@ -557,117 +367,6 @@
     return rows
 
 
-def describe_row(row: Row) -> str:
-    """Format a row as a line for the terminal."""
-    return (
-        f'{row.condition:<18}{row.proxy:<12}failed {row.failed:>4} '
-        f'refused {row.refused:>4} of {row.sent:<5} '
-        f'+p50 {row.added_p50:6.1f} +p99 {row.added_p99:7.1f} ms '
-        f'detect {row.detection:5.1f} s false {row.false_ejections} '
-        f'retries {row.retries:.3f}'
-    )
-
-
-HEADINGS = {
-    'failed': 'failed',
-    'refused': 'wrongly refused',
-    'added_p50': 'added p50 ms',
-    'added_p99': 'added p99 ms',
-    'worst_p99': 'worst / median p99',
-    'detection': 'detection s',
-    'gray_runs': 'runs on gray per node',
-    'false_ejections': 'false ejections',
-    'retries': 'retries per request',
-    'platform_calls': 'platform calls/s',
-    'processor': 'busiest node, cores',
-    'memory': 'largest node, MiB',
-}
-
-
-def write_report(rows: list[Row], directory: Path, command: str) -> None:
-    """Write the report as Markdown, CSV and a plot to a directory."""
-    directory.mkdir(parents=True, exist_ok=True)
-    with (directory / 'measurements.csv').open('w', newline='') as file:
-        writer = csv.writer(file)
-        writer.writerow(Row.__struct_fields__)
-        writer.writerows(msgspec.structs.astuple(row) for row in rows)
-    (directory / 'report.md').write_text(make_markdown(rows, command))
-    plot_rows(rows, directory / 'report.svg')
-
-
-def make_markdown(rows: list[Row], command: str) -> str:
-    """Make a Markdown table with the median and range over the seeds."""
-    seeds = sorted({row.seed for row in rows})
-    lines = [
-        f'Command `{command}`, seeds {seeds}, commit {describe_commit()}.',
-        '',
-        f'| condition | proxy | sent | {" | ".join(HEADINGS.values())} |',
-        f'| --- | --- |{" --- |" * (len(HEADINGS) + 1)}',
-    ]
-    groups: dict[tuple[str, str], list[Row]] = {}
-    for row in rows:
-        groups.setdefault((row.condition, row.proxy), []).append(row)
-    for (condition, proxy), group in groups.items():
-        cells = [
-            describe_spread([float(getattr(row, name)) for row in group])
-            for name in HEADINGS
-        ]
-        sent = sum(row.sent for row in group)
-        lines.append(
-            f'| {condition} | {proxy} | {sent} | {" | ".join(cells)} |',
-        )
-    return '\n'.join(lines) + '\n'
-
-
-def describe_spread(figures: list[float]) -> str:
-    """Format the median, and the range if there are several values."""
-    median = statistics.median(figures)
-    if len(figures) == 1:
-        return f'{median:.3g}'
-    return f'{median:.3g} ({min(figures):.3g}–{max(figures):.3g})'
-
-
-def plot_rows(rows: list[Row], path: Path) -> None:
-    """Plot failures and added latency of both proxies by condition."""
-    names = list(dict.fromkeys(row.condition for row in rows))
-    figure, axes = plt.subplots(1, 2, figsize=(12, 0.5 * len(names) + 2))
-    panels = (
-        ('failed or wrongly refused, in 100', lost_percent),
-        ('added ms for 99 in 100', lambda row: max(row.added_p99, 0.1)),
-    )
-    for axis, (title, read) in zip(axes, panels, strict=True):
-        for shift, proxy in ((0.2, 'kumquathold'), (-0.2, 'naive')):
-            proxy_rows = [row for row in rows if row.proxy == proxy]
-            axis.barh(
-                [names.index(row.condition) + shift for row in proxy_rows],
-                [read(row) for row in proxy_rows],
-                height=0.35,
-                label=proxy,
-            )
-        axis.set_yticks(range(len(names)), names)
-        axis.set_title(title)
-        axis.legend()
-    axes[1].set_xscale('log')
-    figure.tight_layout()
-    figure.savefig(path)
-
-
-def lost_percent(row: Row) -> float:
-    """Return the percentage of requests that failed or were wrongly refused."""
-    return 100 * (row.failed + row.refused) / max(row.sent, 1)
-
-
-def describe_commit() -> str:
-    """Return the Git description of the measured commit, or `unknown`."""
-    completed = subprocess.run(  # noqa: S603
-        ['git', 'describe', '--always', '--dirty'],  # noqa: S607
-        capture_output=True,
-        text=True,
-        check=False,
-    )
-    return completed.stdout.strip() or 'unknown'
-
-
 @click.command()
 @click.option('--full', is_flag=True, help='All conditions.')
 @click.option('--seeds', default=3, help='Repeats of the full form.')
