--- a/packages/node/src/kumquathold_node/rate_election.py
+++ b/packages/node/src/kumquathold_node/rate_election.py
@@ -76,7 +76,7 @@
 class RateElection:
     """Acquires, keeps and releases this node's rate groups.
 
-    All times are of the boot clock: a lease also runs out while this machine
+    All times are of the boot clock: a lease also runs out while this VM
     is suspended.
     """
 
--- a/tests/test_rate_handover.py
+++ b/tests/test_rate_handover.py
@@ -89,7 +89,7 @@
 
 
 class SuspendedHolderTest(test_rate_holder.HolderStage):
-    """A machine that is suspended stops the monotonic clock, not the lease."""
+    """A VM that is suspended stops the monotonic clock, but not the lease."""
 
     def test_nothing_is_granted_after_a_suspension_past_the_lease(self) -> None:
         now = read_boot_clock()
