Lose only the replies that the test of acceptance means to lose

Nothing was accepted then, so the error was right and the test's premise was not.

Calls of the test's store wait for 30 s in place of 1; what it loses and refuses on purpose, and all checks, are as before.

--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -10,6 +10,7 @@
 
 from kumquathold_core import store_keys
 from kumquathold_node import acceptance
+from kumquathold_node.http_calls import HttpResponse
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.store import (
@@ -24,6 +25,8 @@
 from tests.test_site_platform import PlatformStore
 
 SWITCH_TIMEOUT_SECONDS = 0.5
+CALL_TIMEOUT_SECONDS = 30.0
+"""So that only the replies which the test loses are lost."""
 
 
 class LossyStore(PlatformStore):
@@ -36,6 +39,15 @@
         self.refuses_reads = False
         self.is_refusing = False
 
+    def _call(
+        self,
+        method: str,
+        target: str,
+        content: object = None,
+        timeout: float = CALL_TIMEOUT_SECONDS,
+    ) -> HttpResponse:
+        return super()._call(method, target, content, timeout)
+
     def swap(self, writes: Sequence[Write]) -> SwapResult:
         is_switch = writes[0].key == store_keys.MANIFEST_KEY
         if is_switch and self.is_refusing:
