Repeat an edit only once the node has the version it conflicted with

Cause: the store knows a version before the node that is asked for its text. An editor that conflicted read the same old text again at once and conflicted with the same version, until its attempts were spent. Operators at a node that lags saw the same.

The conflict names the version in force.

--- a/packages/cli/src/kumquathold_cli/changes.py
+++ b/packages/cli/src/kumquathold_cli/changes.py
@@ -9,7 +9,6 @@
 import difflib
 import time
 from collections.abc import Callable, Iterator
-from contextlib import suppress
 from typing import Any
 
 import msgspec
@@ -42,6 +41,7 @@
         super().__init__(
             f'version {version} by {author} was accepted after version {base}',
         )
+        self.version: int = version
         self.in_force = in_force
         self.diff = diff
 
@@ -111,13 +111,17 @@
 def edit_accepted_text(client: Client, edit: Edit, note: str) -> int:
     """Edit the rules in force; return the new version.
 
-    On a conflict, repeats the edit on the newer version, and raises
-    `ChangeError` after `EDIT_ATTEMPTS`.
+    On a conflict, repeats the edit on the newer version, once the node has it
+    in force. Raises `ChangeError` after `EDIT_ATTEMPTS`, or if the node does
+    not get that version within `ROLLOUT_TIMEOUT_SECONDS`.
     """
+    min_version = 0
     for _ in range(EDIT_ATTEMPTS):
-        base, text = fetch_accepted_text(client)
-        with suppress(VersionConflict):
+        base, text = _await_accepted_text(client, min_version)
+        try:
             return accept_text(client, edit(text), base, note)
+        except VersionConflict as conflict:
+            min_version = conflict.version
     raise ChangeError(
         f'edit conflicted with other changes in all {EDIT_ATTEMPTS} attempts',
     )
@@ -134,6 +138,23 @@
         time.sleep(POLL_SECONDS)
 
 
+def _await_accepted_text(client: Client, min_version: int) -> tuple[int, str]:
+    """Return version and text in force once the version is `min_version`.
+
+    The store knows a version before the node that is asked for its text.
+    """
+    deadline = time.monotonic() + ROLLOUT_TIMEOUT_SECONDS
+    while True:
+        version, text = fetch_accepted_text(client)
+        if version >= min_version:
+            return version, text
+        if time.monotonic() >= deadline:
+            raise ChangeError(
+                f'the node has version {version} in force, not {min_version}',
+            )
+        time.sleep(POLL_SECONDS)
+
+
 def _read_progress(client: Client, version: int) -> RolloutProgress:
     status = client.get_json('/status', {'refresh': 'yes'})
     reached: list[str] = []
