--- a/tests/test_silent_owner.py
+++ b/tests/test_silent_owner.py
@@ -5,6 +5,7 @@
 import threading
 import time
 import unittest
+from collections.abc import Callable
 
 from kumquathold_standins.caller import Caller, Response
 from kumquathold_standins.fleet import Fleet, running_fleet
@@ -73,7 +74,10 @@
         self.assertEqual(len(self.fleet.runs_of('killed')), 1)
 
     def _send_beside(
-        self, operation: str, silence: object, restore: object
+        self,
+        operation: str,
+        silence: Callable[[], object],
+        restore: Callable[[], object],
     ) -> list[Response]:
         """Send a request, and silence its owner while it runs."""
         responses: list[Response] = []
@@ -84,9 +88,9 @@
         wait_until(
             lambda: len(self.fleet.runs_of(operation)) > 0, 'start of the run'
         )
-        silence()  # type: ignore[operator]
+        silence()
         time.sleep(SILENT_SECONDS)
-        restore()  # type: ignore[operator]
+        restore()
         thread.join()
         return responses
 
