--- a/packages/node/src/kumquathold_node/holder_contacts.py
+++ b/packages/node/src/kumquathold_node/holder_contacts.py
@@ -12,6 +12,7 @@
 from kumquathold_node.settings import Settings
 
 MAX_CONTACTS = 16
+"""Most nodes of a region that are asked."""
 
 
 class HolderContacts:
--- a/tests/test_rate_handover.py
+++ b/tests/test_rate_handover.py
@@ -8,8 +8,8 @@
 from time import monotonic
 from unittest import mock
 
-from kumquathold_core import holder_validity
-from kumquathold_node import rate_holder
+from kumquathold_core import holder_validity, member_table
+from kumquathold_node import membership, rate_holder
 from kumquathold_node.process_clock import read_boot_clock
 from kumquathold_node.rate_holder import HoldGroupsCommand
 from kumquathold_standins.fleet import Fleet, running_fleet
@@ -44,6 +44,14 @@
                     expected,
                 )
 
+    def test_it_expires_before_a_peer_declares_the_holder_dead(self) -> None:
+        declared_dead_after = (
+            membership.DIRECT_TIMEOUT_SECONDS
+            + membership.INDIRECT_TIMEOUT_SECONDS
+            + member_table.SUSPICION_TIMEOUT_SECONDS
+        )
+        self.assertLess(holder_validity.CONTACT_SECONDS, declared_dead_after)
+
 
 class ElectionTest(test_rate_election.ElectionStage):
     """The time until which a holder may grant."""
