--- a/packages/node/src/kumquathold_node/configuration.py
+++ b/packages/node/src/kumquathold_node/configuration.py
@@ -234,11 +234,12 @@
                 digest,
                 self.read_rules,
             ),
+            source=envelope.sender,
         )
 
     def on_configuration_found(self, event: ConfigurationFoundEvent) -> None:
         """Adopt a configuration that this node read or accepted."""
-        self._adopt(event.configuration)
+        self._adopt(event.configuration, source='store')
 
     def notify_all_peers(self, version: int) -> None:
         """Notify all peers of a version that this node accepted."""
@@ -256,7 +257,11 @@
         for peer in self.membership.select_notice_peers():
             self.transport.try_send(peer, notice)
 
-    def _adopt(self, configuration: Configuration) -> None:
+    def _adopt(self, configuration: Configuration, source: str) -> None:
+        """Put a configuration in force, unless it is an older one.
+
+        `source` is `store`, or the address of the peer that sent it.
+        """
         if configuration.version <= self.current.version:
             self.metrics.count('configuration.older_ignored')
             return
@@ -267,7 +272,11 @@
         for listener in self.listeners:
             listener(configuration)
         self.notify_some_peers(configuration.version)
-        logger.info('configuration in force', version=configuration.version)
+        logger.info(
+            'configuration in force',
+            version=configuration.version,
+            source=source,
+        )
 
     def _post_version(self, peer: str, version: int) -> None:
         self.task.post(VersionReportedEvent(peer, version))
--- a/packages/node/src/kumquathold_node/configuration_watch.py
+++ b/packages/node/src/kumquathold_node/configuration_watch.py
@@ -40,6 +40,9 @@
 MAX_BACKOFF_SECONDS = 1.0
 """Longest pause after a failed call."""
 
+LOGGED_DIGITS = 3
+"""Digits of a second in log lines."""
+
 
 class UnreadableConfiguration(Exception):
     """The value of the configuration's key cannot be decoded."""
@@ -74,6 +77,8 @@
         self.key = key
         self.decode = decode
         self.is_reachable = True
+        self.requested_at = 0.0
+        """When the last call began, in seconds of the monotonic clock."""
         kernel.register('reader', self)
         kernel.add_background_thread('configuration-watch', self.follow)
 
@@ -95,22 +100,22 @@
                 pause = min(pause * 2, MAX_BACKOFF_SECONDS)
 
     def _read_key(self) -> int:
-        requested_at = monotonic()
+        self.requested_at = monotonic()
         reading = self.store.read_prefix(self.key)
         self._record_store_success()
         for stored in reading.found:
-            self._process_value(stored, requested_at)
+            self._process_value(stored)
         return reading.revision
 
     def _watch_key(self, after: int) -> int:
-        requested_at = monotonic()
+        self.requested_at = monotonic()
         batch = self.store.watch(self.key, after, WATCH_SECONDS)
         for change in batch.changes:
             if change.stored is not None and change.key == self.key:
-                self._process_value(change.stored, requested_at)
+                self._process_value(change.stored)
         return max(batch.revision, after)
 
-    def _process_value(self, stored: StoredValue, requested_at: float) -> None:
+    def _process_value(self, stored: StoredValue) -> None:
         text = stored.value.decode(errors='replace')
         try:
             decoded = self.decode(text)
@@ -131,14 +136,19 @@
             digest=manifests.digest_compressed(compressed),
         )
         self.configuration.task.post(ConfigurationFoundEvent(found))
-        self.freshness.record_proof(decoded.version, requested_at)
+        self.freshness.record_proof(decoded.version, self.requested_at)
 
     def _record_store_failure(self, error: StoreError) -> None:
-        self.freshness.record_store_failure(monotonic())
+        now = monotonic()
+        self.freshness.record_store_failure(now)
         self.metrics.count('configuration.poll_failed')
         if self.is_reachable:
             self.is_reachable = False
-            logger.warning('store unreachable', cause=str(error))
+            logger.warning(
+                'store unreachable',
+                cause=str(error),
+                waited=round(now - self.requested_at, LOGGED_DIGITS),
+            )
 
     def _record_store_success(self) -> None:
         if not self.is_reachable:
