--- /dev/null
+++ b/tests/test_silent_store.py
@@ -0,0 +1,69 @@
+"""A change of the configuration while the connection to the store is silent."""
+
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from kumquathold_node.configuration import ConfigurationFoundEvent
+from kumquathold_node.configuration_watch import ConfigurationWatch
+from kumquathold_node.kernel import Kernel
+from kumquathold_node.metrics import Metrics
+from kumquathold_standins.loopback import (
+    free_port,
+    loopback_address,
+    wait_until,
+)
+from kumquathold_standins.relay import Link, Relay
+from tests.site_store import SiteStore, serving_store
+from tests.test_site_platform import (
+    PlatformStore,
+    configuration,
+    make_config,
+)
+
+IN_FORCE_SECONDS = 7.0
+"""What is allowed on `tuul-mesh` while the store is in trouble: 2 s and 5 s."""
+
+
+class SilentStoreTest(unittest.TestCase):
+    """The store behind a relay that can silence open connections."""
+
+    def setUp(self) -> None:
+        self.store = SiteStore()
+        self.store.put(configuration.CONFIGURATION_KEY, make_config().encode())
+        address = self.enterContext(serving_store(self.store))
+        self.link = Link(loopback_address(free_port()), address, delay=0)
+        relay = self.enterContext(Relay().running())
+        relay.add(('node', 'store'), self.link)
+        self.versions: list[int] = []
+        self.enterContext(self.make_kernel().running())
+
+    def make_kernel(self) -> Kernel:
+        """Return a kernel that follows the configuration, and nothing else."""
+        kernel = Kernel()
+        metrics = Metrics(None)
+        kernel.register('metrics', metrics)
+        kernel.register('store', PlatformStore(self.link.listen, metrics))
+        kernel.register('freshness', mock.Mock())
+        kernel.register('configuration', SimpleNamespace(task=self))
+        ConfigurationWatch(
+            kernel,
+            configuration.CONFIGURATION_KEY,
+            configuration.decode_configuration,
+        )
+        return kernel
+
+    def post(self, event: ConfigurationFoundEvent) -> None:
+        """Record a version that was found, as the task that adopts it."""
+        self.versions.append(event.configuration.version)
+
+    def test_change_is_found_though_the_watch_has_gone_silent(self) -> None:
+        wait_until(lambda: 'watch' in self.store.calls, 'watch')
+        self.link.silence()
+        changed = make_config(configVersion='0000000d')
+        self.store.put(configuration.CONFIGURATION_KEY, changed.encode())
+        wait_until(
+            lambda: 13 in self.versions, 'newer version', IN_FORCE_SECONDS
+        )
