Notice a connection to the store that has gone silent

What callers saw: for up to 16 s a confirmed configuration was not in force, routes that it added answered 404, and withdrawn ones were served.

Cause: the only call that would bring a change waits up to 15 s for it, on one connection, and was given up after 16 s. Nothing else asked. A path that drops the packets of open connections looks just like a store without news. Versions from peers do not cover it, as the connections between nodes fall silent with it.

Change: the kernel probes connections to the store (TCP keep-alive), so that a silent one fails within about 2 s; and a watch waits for 5 s, so that a store which never responds is noticed after 6 s, within the 7 s that are allowed while it is in trouble.

--- a/packages/node/src/kumquathold_node/configuration_watch.py
+++ b/packages/node/src/kumquathold_node/configuration_watch.py
@@ -31,8 +31,11 @@
     WatchableStore,
 )
 
-WATCH_SECONDS = 15.0
-"""Time for which one call waits for changes."""
+WATCH_SECONDS = 5.0
+"""Time for which one call waits for changes.
+
+A store that never responds is noticed only after it.
+"""
 
 MIN_BACKOFF_SECONDS = 0.1
 """Pause after the first failed call; doubles with each further failure."""
--- a/packages/node/src/kumquathold_node/http_calls.py
+++ b/packages/node/src/kumquathold_node/http_calls.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 client for the store, with one keep-alive connection per thread.
 
 A connection on which a call failed or timed out is closed, so that no later
-call waits on it.
+call waits on it. One that has gone silent fails within seconds, even if the
+call may wait for longer.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 
 import msgspec
 
+from kumquathold_node import tcp_probes
 from kumquathold_node.store import StoreUnavailable
 
 CALL_TIMEOUT_SECONDS = 1.0
@@ -26,6 +28,15 @@
     """The complete body."""
 
 
+class _ProbedConnection(http.client.HTTPConnection):
+    """A connection that the kernel probes while a call waits."""
+
+    def connect(self) -> None:
+        """Connect, and start the probes."""
+        super().connect()
+        tcp_probes.enable_probes(self.sock)
+
+
 class HttpCalls:
     """Client of one address; any thread may use it."""
 
@@ -63,7 +74,7 @@
     ) -> HttpResponse:
         connection = getattr(self.local, 'connection', None)
         if connection is None:
-            connection = http.client.HTTPConnection(
+            connection = _ProbedConnection(
                 self.address,
                 timeout=CALL_TIMEOUT_SECONDS,
             )
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import unittest
 from types import SimpleNamespace
 from unittest import mock
@@ -23,10 +24,37 @@
     make_config,
 )
 
+CONTACT_SECONDS = 3
+"""Time after a fault from which a VM on `tuul-mesh` counts as sound again."""
+
 IN_FORCE_SECONDS = 7.0
 """What is allowed on `tuul-mesh` while the store is in trouble: 2 s and 5 s."""
 
 
+class StoreConnectionTest(unittest.TestCase):
+    """Connections to the store, as the kernel sees them."""
+
+    def test_kernel_probes_a_connection_before_a_vm_counts_as_sound(
+        self,
+    ) -> None:
+        # A relay on loopback can't show it: its kernel answers the probes.
+        address = self.enterContext(serving_store(SiteStore()))
+        client = PlatformStore(address, Metrics(None))
+        client.read('a')
+        sock = client.calls.local.connection.sock
+        self.addCleanup(sock.close)
+        self.assertTrue(sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
+        idle, interval, probes = (
+            sock.getsockopt(socket.IPPROTO_TCP, option)
+            for option in (
+                socket.TCP_KEEPIDLE,
+                socket.TCP_KEEPINTVL,
+                socket.TCP_KEEPCNT,
+            )
+        )
+        self.assertLess(idle + interval * probes, CONTACT_SECONDS)
+
+
 class SilentStoreTest(unittest.TestCase):
     """The store behind a relay that can silence open connections."""
 
