Start a thread again that an unexpected error has ended

Cause: a function on a thread of its own that met an error it did not expect ended with it, without a line in the log or a counter, and the process stayed ready. The thread that follows the configuration could end so, by a value of the key; the one that receives messages, the servers' and the one that writes the log likewise.

Change: a supervisor logs the failure, counts it and starts the function again after a growing pause. While the reader of the configuration keeps failing, the node is not ready. The log's writer drops and counts a line that it can't write.

--- a/packages/node/src/kumquathold_node/administration.py
+++ b/packages/node/src/kumquathold_node/administration.py
@@ -118,8 +118,10 @@
     request_gate: RequestGate = kernel.find('request-gate')
     is_up = is_ready(kernel)
     status = HTTPStatus.OK if is_up else HTTPStatus.SERVICE_UNAVAILABLE
-    state = 'up' if is_up else 'starting'
-    content = {'state': 'leaving' if request_gate.is_draining else state}
+    state = 'failing' if kernel.list_failing_threads() else 'starting'
+    if request_gate.is_draining:
+        state = 'leaving'
+    content = {'state': 'up' if is_up else state}
     return make_json_response(content, status)
 
 
--- a/packages/node/src/kumquathold_node/health.py
+++ b/packages/node/src/kumquathold_node/health.py
@@ -13,7 +13,13 @@
 
 
 def is_ready(kernel: Kernel) -> bool:
-    """Whether a configuration is in force and the node is not draining."""
+    """Whether the node can take callers' requests.
+
+    It has a configuration in force, does not drain, and none of its background
+    threads keeps failing: without them it would not hear of changes.
+    """
+    if kernel.list_failing_threads():
+        return False
     request_gate: RequestGate = kernel.find('request-gate')
     config: ConfigurationService = kernel.find('configuration')
     return not request_gate.is_draining and config.current.version > 0
--- a/packages/node/src/kumquathold_node/http_server.py
+++ b/packages/node/src/kumquathold_node/http_server.py
@@ -24,6 +24,7 @@
 from kumquathold_node import caller_connections, caller_requests
 from kumquathold_node.caller_requests import RequestRefused
 from kumquathold_node.dialect import CallerDialect
+from kumquathold_node.supervision import Supervisor
 
 MAX_BODY_BYTES = 67_108_864
 MAX_HEADER_BYTES = 262_144
@@ -181,7 +182,7 @@
     server.channel_class = _Channel
     server.is_draining = is_draining
     thread = threading.Thread(
-        target=server.run,
+        target=Supervisor(f'http {address}', server.run).run,
         name=f'http {address}',
         daemon=True,
     )
--- a/packages/node/src/kumquathold_node/kernel.py
+++ b/packages/node/src/kumquathold_node/kernel.py
@@ -17,6 +17,7 @@
 from loguru import logger
 
 from kumquathold_core.wire import Envelope
+from kumquathold_node.supervision import Supervisor
 
 STOP_SECONDS = 0.5
 
@@ -118,7 +119,7 @@
         """Start without services."""
         self.services: dict[str, Any] = {}
         self.tasks: list[Task] = []
-        self.background_threads: list[threading.Thread] = []
+        self.supervisors: list[Supervisor] = []
 
     def register(self, name: str, service: Any) -> None:
         """Register a service; raises `DuplicateService` for a name in use."""
@@ -131,15 +132,19 @@
         self.tasks.append(task)
 
     def add_background_thread(
-        self, name: str, target: Callable[[], None]
+        self, name: str, action: Callable[[], None]
     ) -> None:
         """Add a function that runs on a daemon thread of its own.
 
         The thread starts with the kernel and is not stopped: it ends with the
-        process.
+        process. If the function raises an exception, it is started again.
         """
-        thread = threading.Thread(target=target, name=name, daemon=True)
-        self.background_threads.append(thread)
+        supervisor = Supervisor(name, action, self._count_failure)
+        self.supervisors.append(supervisor)
+
+    def list_failing_threads(self) -> list[str]:
+        """List the background threads whose function keeps failing."""
+        return [one.name for one in self.supervisors if one.is_failing]
 
     def find(self, name: str) -> Any:
         """Return a service by name; raises `UnknownService`."""
@@ -156,8 +161,10 @@
         """
         for task in self.tasks:
             task.start()
-        for thread in self.background_threads:
-            thread.start()
+        for supervisor in self.supervisors:
+            threading.Thread(
+                target=supervisor.run, name=supervisor.name, daemon=True
+            ).start()
         try:
             yield
         finally:
@@ -167,6 +174,11 @@
             for task in self.tasks:
                 task.thread.join(max(0, deadline - monotonic()))
 
+    def _count_failure(self, name: str) -> None:
+        metrics = self.services.get('metrics')
+        if metrics is not None:
+            metrics.count(f'kernel.thread_failures.{name}')
+
 
 def _do_nothing() -> None:
     """Default tick."""
--- a/packages/node/src/kumquathold_node/logs.py
+++ b/packages/node/src/kumquathold_node/logs.py
@@ -59,10 +59,17 @@
             line = self.lines.get()
             if line is None:
                 return
-            encoded = msgspec.json.encode(line, enc_hook=str)
-            sys.stdout.write(f'{encoded.decode()}\n')
-            if self.lines.empty():
-                sys.stdout.flush()
+            try:
+                self._write(line)
+            except (OSError, ValueError, RecursionError):
+                # There is nowhere to report it: the next line counts it.
+                self.dropped += 1
+
+    def _write(self, line: dict[str, Any]) -> None:
+        encoded = msgspec.json.encode(line, enc_hook=str)
+        sys.stdout.write(f'{encoded.decode()}\n')
+        if self.lines.empty():
+            sys.stdout.flush()
 
     def close(self) -> None:
         """Write the lines still queued and end the thread.
--- a/packages/node/src/kumquathold_node/transport.py
+++ b/packages/node/src/kumquathold_node/transport.py
@@ -21,6 +21,7 @@
 from kumquathold_core import wire
 from kumquathold_node.kernel import Task
 from kumquathold_node.metrics import Metrics
+from kumquathold_node.supervision import Supervisor
 
 if TYPE_CHECKING:
     from kumquathold_core.forwarding import BodyChunk
@@ -185,11 +186,13 @@
         except pynng.AddressInUse as error:
             listener.close()
             raise AddressInUse(self.address) from error
+        supervisor = Supervisor(
+            'transport',
+            lambda: self._receive(listener),
+            lambda name: self.metrics.count(f'kernel.thread_failures.{name}'),
+        )
         receiver = threading.Thread(
-            target=self._receive,
-            args=(listener,),
-            name='transport',
-            daemon=True,
+            target=supervisor.run, name='transport', daemon=True
         )
         receiver.start()
         try:
