Take no key beside that of the configuration for it

Cause: the read asks for all keys that begin with the configuration's and took each one that was found; only the watch compared the key. A draft at `op/config-draft` with a higher version was put in force by every node that read, and hid all later ones.

Result: test_key_beside_the_configuration_is_not_taken_for_it failed before (versions 12 and 255 found) and passes.

--- a/packages/node/src/kumquathold_node/configuration_watch.py
+++ b/packages/node/src/kumquathold_node/configuration_watch.py
@@ -107,7 +107,8 @@
         reading = self.store.read_prefix(self.key)
         self._record_store_success()
         for stored in reading.found:
-            self._process_value(stored)
+            if stored.key == self.key:
+                self._process_value(stored)
         return reading.revision
 
     def _watch_key(self, after: int) -> int:
