--- a/tests/test_reader_threads.py
+++ b/tests/test_reader_threads.py
@@ -185,6 +185,42 @@
         self.put(make_config())
         self.wait_for(12)
 
+    def test_versions_are_found_after_odd_values(self) -> None:
+        added = {**json.loads(make_config())['routes'][0], 'priority': 1}
+        odd = (
+            f'{{"extra": {NESTED}}}',
+            make_config().replace(
+                '"timeoutMs": 8000', f'"timeoutMs": {DIGITS}'
+            ),
+            make_config(configVersion=DIGITS),
+            make_config(routes=[{**added, 'timeoutMs': 10**18}]),
+            make_config(routes=[{**added, 'priority': 10**30}]),
+            make_config(
+                routes=[
+                    {
+                        **added,
+                        'weightedServices': [{'service': 'a', 'weight': 0}],
+                    }
+                ]
+            ),
+            make_config(tenants=[{'name': 'a', 'burstSize': 10**30}]),
+        )
+        self.follow()
+        for number, text in enumerate(odd):
+            with self.subTest(text=text[:40], number=number):
+                self.put(text)
+                self.put_version(13 + number)
+                self.wait_for(13 + number)
+        self.assertEqual(self.versions, list(range(13, 13 + len(odd))))
+
+    def test_value_that_is_no_base64_is_refused(self) -> None:
+        self.put(make_config())
+        self.store.items['op/config']['value'] = 'é'
+        self.follow()
+        wait_until(lambda: 'range' in self.store.calls, 'read')
+        self.put_version(13)
+        self.wait_for(13)
+
     def test_key_beside_the_configuration_is_not_taken_for_it(self) -> None:
         other = make_config(configVersion='000000ff')
         self.store.put('op/config-draft', other.encode())
