Report a message that cannot be encoded as not sent

Cause: encoding raised an error that no sender expects, out of the handler that sent the message. A record with an integer of more than 64 bits so ended each heartbeat, reply and table of its node half-way: the whole fleet lost the node, and the node lost the versions that heartbeats bring.

Change: such a message is logged, counted (peers.unencodable) and reported as not sent, like one that the peer does not accept.

--- a/packages/core/src/kumquathold_core/wire.py
+++ b/packages/core/src/kumquathold_core/wire.py
@@ -73,7 +73,7 @@
 
 
 class WireError(Exception):
-    """A frame was rejected."""
+    """A frame was rejected, or cannot be made."""
 
 
 class ForgedFrame(WireError):
@@ -87,6 +87,10 @@
     """
 
 
+class UnencodableMessage(WireError):
+    """A message holds a value that frames cannot carry."""
+
+
 MessageType = TypeVar('MessageType')
 
 
@@ -127,9 +131,14 @@
 ) -> bytes:
     """Encode and authenticate an envelope for one receiver.
 
-    `receiver` is the peer address of the receiving node.
+    `receiver` is the peer address of the receiving node. Raises
+    `UnencodableMessage`, e.g. for an integer of more than 64 bits.
     """
-    payload = _encoder.encode(envelope)
+    try:
+        payload = _encoder.encode(envelope)
+    except (ValueError, TypeError, OverflowError) as error:
+        kind = type(envelope.message).__name__
+        raise UnencodableMessage(f'{kind}: {error}') from error
     return _authenticate(secret, receiver, payload) + payload
 
 
@@ -149,7 +158,7 @@
         raise ForgedFrame(f'frame of {len(frame)} bytes has no valid MAC')
     try:
         return _decoder.decode(payload)
-    except msgspec.MsgspecError as error:
+    except (ValueError, RecursionError) as error:
         raise MalformedFrame(str(error)) from error
 
 
--- a/packages/node/src/kumquathold_node/attempts.py
+++ b/packages/node/src/kumquathold_node/attempts.py
@@ -33,7 +33,7 @@
     ResponseEvent,
 )
 from kumquathold_node.selections import OwnerReport, Selection
-from kumquathold_node.transport import LinkFull, Transport
+from kumquathold_node.transport import NotSent, Transport
 from kumquathold_node.upstream_calls import OUTCOME_HEADER, PUBLIC_WORKSPACE
 
 STATUS_INTERVAL_SECONDS = 0.25
@@ -184,7 +184,7 @@
         ) as mailbox:
             try:
                 self._send(deadline)
-            except LinkFull:
+            except NotSent:
                 self._record_silent_path()
                 self._try_send(
                     forwarding.CancelRequest(
--- a/packages/node/src/kumquathold_node/owner_replies.py
+++ b/packages/node/src/kumquathold_node/owner_replies.py
@@ -14,7 +14,7 @@
 from kumquathold_core.request_registry import RequestEntry, RequestState
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner_requests import OwnerRequest, Upstream
-from kumquathold_node.transport import LinkFull, Transport
+from kumquathold_node.transport import NotSent, Transport
 from kumquathold_node.upstream_responses import UpstreamResponse
 
 Reply = TypeVar('Reply', forwarding.ForwardResponse, forwarding.FailureResponse)
@@ -92,7 +92,7 @@
                 forwarding.ResponseChunk,
                 response.request,
             )
-        except LinkFull:
+        except NotSent:
             self.metrics.count('owner.answers_not_sent')
 
 
--- a/packages/node/src/kumquathold_node/transport.py
+++ b/packages/node/src/kumquathold_node/transport.py
@@ -49,8 +49,16 @@
     """A node cannot send or cannot listen."""
 
 
-class LinkFull(TransportError):
-    """The peer does not accept messages, so one was not sent."""
+class NotSent(TransportError):
+    """A message was not sent, so the peer does not get it."""
+
+
+class LinkFull(NotSent):
+    """The peer does not accept messages now."""
+
+
+class MessageInvalid(NotSent):
+    """The message holds a value that no peer can be sent."""
 
 
 class AddressInUse(TransportError):
@@ -106,7 +114,7 @@
     def send(self, receiver: str, message: wire.Message) -> None:
         """Send a small message without waiting.
 
-        Raises `LinkFull` if the peer does not accept it now.
+        Raises `NotSent`, e.g. if the peer does not accept it now.
         """
         self._send(receiver, message, block=False)
 
@@ -114,7 +122,7 @@
         """Send a message that may be lost; return whether it was sent."""
         try:
             self.send(receiver, message)
-        except LinkFull:
+        except NotSent:
             return False
         return True
 
@@ -129,8 +137,8 @@
         """Send a message and the other chunks of its body.
 
         `chunks` are the offsets, in bytes, and contents. Waits while the peer
-        is slow to accept them; raises `LinkFull` if it accepts nothing for
-        `BODY_SEND_TIMEOUT_MS`.
+        is slow to accept them; raises `NotSent`, e.g. if it accepts nothing
+        for `BODY_SEND_TIMEOUT_MS`.
         """
         self._send(receiver, first_message, block=True)
         for offset, chunk in chunks:
@@ -222,12 +230,20 @@
         if receiver == self.address:
             self._dispatch(envelope)
             return
-        frame = wire.encode_frame(envelope, receiver, self.secret)
+        frame = self._encode(envelope, receiver)
         metric_name = wire.MESSAGE_METRIC_NAMES[type(message)]
         self.metrics.count(f'peers.sent.{metric_name}')
         self.metrics.count(f'peers.sent_bytes.{metric_name}', len(frame))
         self._push(receiver, frame, block=block)
 
+    def _encode(self, envelope: wire.Envelope[Any], receiver: str) -> bytes:
+        try:
+            return wire.encode_frame(envelope, receiver, self.secret)
+        except wire.UnencodableMessage as error:
+            self.metrics.count('peers.unencodable')
+            logger.error('message not encodable', cause=str(error))
+            raise MessageInvalid(str(error)) from error
+
     def _push(self, receiver: str, frame: bytes, *, block: bool) -> None:
         try:
             self._send_frame(receiver, frame, block=block)
