Accept announcements only in ranges that all later steps can take

Cause: a heartbeat of another writer was checked by type. A start of more than 64 bits became the record's lifetime, which peers can't be sent. A start or a sequence number far ahead was in range, but made all announcements that followed look outdated, so the upstream lapsed and its draining went unheard. Nesting that is too deep ended the handler with an error, and a name with a line break could not be sent as a header.

--- a/packages/core/src/kumquathold_core/announcement_tracker.py
+++ b/packages/core/src/kumquathold_core/announcement_tracker.py
@@ -9,8 +9,15 @@
 
 import msgspec
 
+MILLISECONDS_PER_SECOND = 1000
 MAX_TRACKED_UPSTREAMS = 256
 
+MAX_SEQUENCE_STEP = 100_000
+"""Largest difference between announcements of one process, days apart."""
+
+MAX_CLOCK_DIFFERENCE_MILLISECONDS = 86_400_000
+"""Largest difference between the time of day of an upstream and of its node."""
+
 
 class AnnouncementStamp(msgspec.Struct, frozen=True, order=True):
     """Position of an announcement in the order of its upstream."""
@@ -32,6 +39,16 @@
     """Whether it has announced in this lifetime that it leaves."""
 
 
+def is_plausible_start(lifetime: int, now: float) -> bool:
+    """Whether a process can have started at `lifetime`, in milliseconds.
+
+    `now` is the time of day in seconds. A start in the future would make all
+    processes that follow look outdated.
+    """
+    latest = now * MILLISECONDS_PER_SECOND + MAX_CLOCK_DIFFERENCE_MILLISECONDS
+    return lifetime <= latest
+
+
 class AnnouncementTracker:
     """The newest announcement of each upstream beside an owner."""
 
@@ -42,7 +59,11 @@
     def admit(
         self, name: str, stamp: AnnouncementStamp, *, leaving: bool
     ) -> bool:
-        """Record an announcement; return false if it is outdated."""
+        """Record an announcement; return false if it is outdated.
+
+        One whose number lies far ahead is not the upstream's own, and would
+        make all that follow look outdated.
+        """
         known = self.latest.get(name)
         if known is None:
             self.latest[name] = LastAnnouncement(stamp, leaving)
@@ -51,7 +72,11 @@
         if stamp.lifetime > known.stamp.lifetime:
             self.latest[name] = LastAnnouncement(stamp, leaving)
             return True
-        is_older = stamp < known.stamp
+        step = stamp.sequence - known.stamp.sequence
+        if step > MAX_SEQUENCE_STEP:
+            return False
+        # Far behind, it is the known number that was not the upstream's own.
+        is_older = stamp < known.stamp and step >= -MAX_SEQUENCE_STEP
         # Without a reported lifetime (0), a restart cannot be told apart.
         is_final = known.has_left and stamp.lifetime > 0
         if is_older or (is_final and not leaving):
--- a/packages/node/src/kumquathold_node/announcements.py
+++ b/packages/node/src/kumquathold_node/announcements.py
@@ -13,12 +13,16 @@
 from collections.abc import Callable, Iterable
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
-from time import monotonic
+from time import monotonic, time
 from typing import Any
 
 import msgspec
 
-from kumquathold_core.announcement_tracker import AnnouncementStamp
+from kumquathold_core.announcement_tracker import (
+    AnnouncementStamp,
+    is_plausible_start,
+)
+from kumquathold_core.decoding import Count, InvalidContent, Name, decode_json
 from kumquathold_core.identity import UpstreamRecord
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.settings import SettingsError, parse_address
@@ -42,19 +46,19 @@
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Body of the request."""
 
-    service: str
+    service: Name
     """Name of the upstream's service."""
 
     address: str
     """Address that it takes requests at, `IP:port`."""
 
-    slots: int
+    slots: Count
     """Number of requests that it can run at the same time."""
 
     state: UpstreamState = UpstreamState.ready
     """Whether it is starting, ready or leaving."""
 
-    lifetime: int = 0
+    lifetime: Count = 0
     """Start of its process in Unix milliseconds, 0 if not told."""
 
 
@@ -116,7 +120,7 @@
         raw = environ['wsgi.input'].read(MAX_ANNOUNCEMENT_BYTES)
         try:
             announcement = _parse_announcement(raw)
-        except (msgspec.MsgspecError, SettingsError) as error:
+        except (InvalidContent, SettingsError) as error:
             body = msgspec.json.encode({'error': str(error)})
             return _respond(start_response, '400 Bad Request', body)
         return _announce(kernel, announcement, start_response)
@@ -125,11 +129,14 @@
 
 
 def _parse_announcement(raw: bytes) -> Announcement:
-    announcement = msgspec.json.decode(raw, type=Announcement)
+    announcement = decode_json(raw, Announcement)
     parse_address('address', announcement.address)
     if not 1 <= announcement.slots <= MAX_SLOTS:
         given = str(announcement.slots)
         raise SettingsError('slots', given, f'a number from 1 to {MAX_SLOTS}')
+    if not is_plausible_start(announcement.lifetime, time()):
+        given = str(announcement.lifetime)
+        raise SettingsError('lifetime', given, 'a time that has passed')
     return announcement
 
 
--- a/tests/test_site_platform.py
+++ b/tests/test_site_platform.py
@@ -6,10 +6,8 @@
 import re
 import sys
 import unittest
-from concurrent.futures import Future
 from http import HTTPStatus
 from pathlib import Path
-from types import SimpleNamespace
 from typing import Any
 
 from kumquathold_core.forwarding import Outcome, Refusal
@@ -17,7 +15,6 @@
 from kumquathold_core.rules import authenticate_key
 from kumquathold_node.announcements import AnnouncedEvent, DeregisteredEvent
 from kumquathold_node.configuration_watch import UnreadableConfiguration
-from kumquathold_node.kernel import Kernel
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.store import (
     HistoryCompacted,
@@ -25,13 +22,13 @@
     StoreUnavailable,
     Write,
 )
+from tests.site_announcements import AnnouncementsCase
 from tests.site_store import SiteStore, serving_store
 
 ROOT = Path(__file__).parent.parent
 sys.path.append(str(ROOT / 'platform'))
 
 from kumquathold_platform import (  # noqa: E402
-    announcements,
     configuration,
     headers,
 )
@@ -204,55 +201,9 @@
                 configuration.decode_configuration(text)
 
 
-class RecordingTask:
-    """Task of the owner that records the messages posted by the adapter."""
-
-    def __init__(self) -> None:
-        self.posted: list[Any] = []
-
-    def post(self, message: Any) -> None:
-        """Record a message and complete its reply."""
-        self.posted.append(message)
-        reply: Future[tuple[int, int]] = message.reply
-        reply.set_result((0, 0))
-
-
-class SiteAnnouncementsTest(unittest.TestCase):
+class SiteAnnouncementsTest(AnnouncementsCase):
     """Decoding of heartbeats and deregistrations to the owner's messages."""
 
-    def setUp(self) -> None:
-        self.task = RecordingTask()
-        kernel = Kernel()
-        kernel.register('owner', SimpleNamespace(task=self.task))
-        kernel.register('metrics', Metrics(None))
-        self.app = announcements.make_announcement_app(kernel)
-
-    def call(self, path: str, body: object, method: str = 'POST') -> int:
-        """Call the application, and return the status."""
-        raw = body if isinstance(body, bytes) else json.dumps(body).encode()
-        status: list[str] = []
-        environ = {
-            'PATH_INFO': path,
-            'REQUEST_METHOD': method,
-            'wsgi.input': SimpleNamespace(read=lambda size: raw[:size]),
-        }
-        list(self.app(environ, lambda line, _: status.append(line)))
-        return int(status[0].split()[0])
-
-    def make_heartbeat(self, **status: Any) -> dict[str, Any]:
-        """Return the body of a heartbeat."""
-        return {
-            'address': '10.1.0.41:8289',
-            'born': 1780339603000,
-            'info': {'service': 'holds', 'slots': 4, 'zone': 'ub-a'},
-            'status': {
-                'state': 'ready',
-                'sequence': 4,
-                'coldLeftMs': 0,
-                **status,
-            },
-        }
-
     def test_heartbeat_is_decoded(self) -> None:
         path = '/api/instances/i-7f/heartbeat'
         self.assertEqual(
