Let an unreadable holder record cost its own rate group only

Cause: the election decodes the records of all groups in one pass; a record of another writer raised an error that ended each pass, so no group without a holder was taken in the region, and callers of all its workspaces were refused.

Change: such a record counts as held by someone else, and is logged.

Result: test_record_of_another_writer_costs_its_own_group_only failed before (ValidationError out of the check) and passes.

--- a/packages/node/src/kumquathold_node/rate_election.py
+++ b/packages/node/src/kumquathold_node/rate_election.py
@@ -18,6 +18,7 @@
     store_keys,
     token_bucket,
 )
+from kumquathold_core.decoding import InvalidContent, decode_json
 from kumquathold_node.holder_contacts import HolderContacts
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import GroupsHeldEvent, Membership
@@ -328,7 +329,15 @@
         found = stored.get(self._record_key(group))
         if found is None:
             return True
-        record = msgspec.json.decode(found.value, type=HolderRecord)
+        try:
+            record = decode_json(found.value, HolderRecord)
+        except InvalidContent as error:
+            logger.error(
+                'rate holder record unreadable',
+                group=group,
+                cause=str(error),
+            )
+            return False
         if record.layout != self.layout:
             logger.error(
                 'rate layout differs',
--- a/tests/test_rate_election.py
+++ b/tests/test_rate_election.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+from kumquathold_core import store_keys
 from kumquathold_core.identity import NodeRecord
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.metrics import Metrics
@@ -215,6 +216,12 @@
         self.make_election(incarnation=6).check()
         self.assertEqual(self.holder.ready_at, {})
 
+    def test_record_of_another_writer_costs_its_own_group_only(self) -> None:
+        key = store_keys.rate_key('north', 0)
+        self.store.stored[key] = StoredValue(key, b'{"address": 7}', 1, 1)
+        self.make_election(incarnation=5).check()
+        self.assertEqual(set(self.holder.ready_at), set(range(1, GROUPS)))
+
     def test_holder_keeps_granting_while_the_store_is_unreachable(self) -> None:
         election = self.make_holder_past_its_lease()
         election.check()
