Lose no answer by the digits of its Keep-Alive header

Cause: the timeout that an upstream states for its connection was turned into a float; 400 digits raise an error there, after the whole answer was read. The caller got 502, outcome unknown, for a request that had run and whose answer was at hand.

Result: test_answer_is_not_lost_by_a_timeout_of_many_digits failed before (OverflowError out of the pool) and passes.

--- a/packages/node/src/kumquathold_node/connection_pool.py
+++ b/packages/node/src/kumquathold_node/connection_pool.py
@@ -26,7 +26,8 @@
 MAX_REQUESTS_PER_CONNECTION = 1000
 """Bounds the ids that are kept for a connection."""
 
-KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r'timeout=(\d+)')
+# Further digits would make no difference to a number of this size.
+KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r'timeout=(\d{1,9})')
 
 
 class IdleConnection(msgspec.Struct, frozen=True):
