Ignore a caller's timeout that is no time

Cause: `nan` was taken for a number of seconds. It is neither above nor below the route's deadline, so the request got a deadline that never passes: it could wait for ever, and its upstream was handed no deadline that means anything.

--- a/packages/node/src/kumquathold_node/caller_requests.py
+++ b/packages/node/src/kumquathold_node/caller_requests.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import math
 import uuid
 from collections.abc import Callable
 from http import HTTPStatus
@@ -254,9 +255,10 @@
     dialect: CallerDialect,
 ) -> float | None:
     try:
-        return float(by_name[dialect.deadline]) * dialect.deadline_unit
+        timeout = float(by_name[dialect.deadline]) * dialect.deadline_unit
     except (KeyError, ValueError):
         return None
+    return timeout if math.isfinite(timeout) else None
 
 
 def _format_seconds(seconds: float, dialect: CallerDialect) -> str:
--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import unittest
+from types import SimpleNamespace
 
+from kumquathold_node import caller_requests
 from kumquathold_node.connection_pool import ConnectionPool
+from kumquathold_node.dialect import CallerDialect
 from kumquathold_node.upstream_responses import UpstreamConnection
 
 DIGITS = '9' * 400
@@ -19,3 +22,19 @@
         connection = UpstreamConnection(ADDRESS, 1.0)
         pool.release(connection, f'timeout={DIGITS}')
         self.assertEqual(len(pool.idle), 1)
+
+
+class CallerTimeoutTest(unittest.TestCase):
+    """The time that a caller says it waits."""
+
+    def test_timeout_that_is_no_time_counts_as_not_given(self) -> None:
+        dialect = CallerDialect()
+        for text in ('nan', 'inf', '-inf', DIGITS, 'soon'):
+            environ = {
+                'REQUEST_URI': '/a',
+                'REQUEST_METHOD': 'GET',
+                'HTTP_REQUEST_TIMEOUT': text,
+                'wsgi.input': SimpleNamespace(read=bytes),
+            }
+            request = caller_requests.read_request(environ, dialect)
+            self.assertIsNone(request.timeout, text)
