Start although the record of seeds cannot be read

Cause: the node reads the record on its main thread as it starts. One of another writer raised an error there that ended the process, again and again. Addresses in it that are none were joined by.

Change: an unreadable record lists nobody, and the node replaces it by one with its own address, under the usual condition; what is no address is left out.

Result: the two tests of SeedRecordTest failed before (DecodeError; an address with port 99999 taken) and pass.

--- a/packages/node/src/kumquathold_node/seeds.py
+++ b/packages/node/src/kumquathold_node/seeds.py
@@ -12,9 +12,10 @@
 from loguru import logger
 
 from kumquathold_core import member_table, store_keys
+from kumquathold_core.decoding import InvalidContent, decode_json
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import JoinCommand, Membership
-from kumquathold_node.settings import Settings
+from kumquathold_node.settings import Settings, is_address
 from kumquathold_node.store import KeyValueStore, StoredValue, StoreError, Write
 
 MAX_SEEDS = 8
@@ -91,7 +92,7 @@
         reading = self.store.read(store_keys.SEEDS_KEY)
         stored = reading.found[0] if reading.found else None
         for _ in range(SWAP_ATTEMPTS):
-            listed = _decode_addresses(stored)
+            listed = decode_addresses(stored)
             peers = (*self.settings.join, *listed)
             self.membership.task.post(JoinCommand(peers))
             stored = self._write(stored, listed)
@@ -127,7 +128,13 @@
         return swap.found[0] if has_conflict and not listed else None
 
 
-def _decode_addresses(stored: StoredValue | None) -> tuple[str, ...]:
+def decode_addresses(stored: StoredValue | None) -> tuple[str, ...]:
+    """Return the addresses of a record; none if it is another writer's."""
     if stored is None:
         return ()
-    return msgspec.json.decode(stored.value, type=SeedRecord).addresses
+    try:
+        record = decode_json(stored.value, SeedRecord)
+    except InvalidContent as error:
+        logger.warning('seed record unreadable', cause=str(error))
+        return ()
+    return tuple(one for one in record.addresses if is_address(one))
--- a/packages/node/src/kumquathold_node/settings.py
+++ b/packages/node/src/kumquathold_node/settings.py
@@ -160,6 +160,15 @@
     return host, port_number
 
 
+def is_address(given: str) -> bool:
+    """Whether a text is an address as `parse_address` takes it."""
+    try:
+        parse_address('', given)
+    except SettingsError:
+        return False
+    return True
+
+
 def read_secret(flag: str, given: str) -> bytes:
     """Read a secret from a file, without blanks around it.
 
--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 from types import SimpleNamespace
 
-from kumquathold_node import caller_requests
+from kumquathold_node import caller_requests, seeds
 from kumquathold_node.connection_pool import ConnectionPool
 from kumquathold_node.dialect import CallerDialect
+from kumquathold_node.store import StoredValue
 from kumquathold_node.upstream_responses import UpstreamConnection
 
 DIGITS = '9' * 400
@@ -38,3 +40,23 @@
             }
             request = caller_requests.read_request(environ, dialect)
             self.assertIsNone(request.timeout, text)
+
+
+class SeedRecordTest(unittest.TestCase):
+    """The record of seeds, which another writer may have changed."""
+
+    def decode(self, text: str) -> tuple[str, ...]:
+        """Return the addresses of a record with this text."""
+        stored = StoredValue('seeds', text.encode(), 1, 1)
+        return seeds.decode_addresses(stored)
+
+    def test_record_that_cannot_be_read_lists_nobody(self) -> None:
+        nested = '[' * 50_000 + ']' * 50_000
+        for text in ('', '7', '{"addresses": [7]}', nested):
+            self.assertEqual(self.decode(text), ())
+
+    def test_only_addresses_are_taken(self) -> None:
+        odd = ['10.0.0.1:99999', f'10.0.0.1:{DIGITS}', 'north', ADDRESS]
+        self.assertEqual(
+            self.decode(json.dumps({'addresses': odd})), (ADDRESS,)
+        )
