Answer the requests whose claims are written beside an unreadable one

Cause: claims of several requests are written together. A value of another writer at the key of one raised an error amid the group, so that all of them waited for their deadline, though nothing was wrong with the others; each of the operators' calls for that key ended with an internal error.

Change: a claim that can't be read refuses its own request, outcome unknown, and is logged; operators get a typed error.

Result: OddClaimTest failed before (ValidationError out of the handler) and passes.

--- a/packages/core/src/kumquathold_core/claims.py
+++ b/packages/core/src/kumquathold_core/claims.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from kumquathold_core.decoding import InvalidContent, decode_json
 from kumquathold_core.forwarding import Headers, Outcome, Refusal
 
 MAX_STORED_BODY_BYTES = 262_144
@@ -114,8 +115,21 @@
     return StoredResponse(status=status, headers=headers, body=stored)
 
 
-def decide_repeat(found: Claim, fingerprint: str) -> Decision:
-    """Decide whether a repeat is replayed or rejected, and why."""
+def decode_claim(stored: bytes) -> Claim | None:
+    """Decode a stored claim; return `None` for one of another writer."""
+    try:
+        return decode_json(stored, Claim)
+    except InvalidContent:
+        return None
+
+
+def decide_repeat(found: Claim | None, fingerprint: str) -> Decision:
+    """Decide whether a repeat is replayed or rejected, and why.
+
+    `found` is `None` if the claim cannot be read.
+    """
+    if found is None:
+        return RejectRepeat(Refusal.outcome_unknown, Outcome.unknown)
     if found.fingerprint != fingerprint:
         return RejectRepeat(Refusal.idempotency_key_reused, Outcome.not_run)
     if found.state == ClaimState.claimed:
--- a/packages/node/src/kumquathold_node/administration.py
+++ b/packages/node/src/kumquathold_node/administration.py
@@ -292,11 +292,16 @@
 
 def show_once(kernel: Kernel, call: OperatorCall) -> OperatorResponse:
     """Return the claim of a once-only request."""
-    claim = claim_resolution.find_claim(
-        kernel.find('store'),
-        call.require('workspace'),
-        call.require('key'),
-    )
+    try:
+        claim = claim_resolution.find_claim(
+            kernel.find('store'),
+            call.require('workspace'),
+            call.require('key'),
+        )
+    except claim_resolution.ClaimUnreadable as error:
+        raise AdministrationError(
+            HTTPStatus.CONFLICT, 'claim-unreadable', str(error)
+        ) from error
     if claim is None:
         raise AdministrationError(
             HTTPStatus.NOT_FOUND,
--- a/packages/node/src/kumquathold_node/claim_resolution.py
+++ b/packages/node/src/kumquathold_node/claim_resolution.py
@@ -14,7 +14,7 @@
 from kumquathold_core.claims import Claim, ClaimState
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import Membership
-from kumquathold_node.store import KeyValueStore, Write
+from kumquathold_node.store import KeyValueStore, StoredValue, Write
 
 
 class ResolutionError(Exception):
@@ -25,6 +25,10 @@
     """The workspace has no claim with this key."""
 
 
+class ClaimUnreadable(ResolutionError):
+    """The stored claim is not one of this fleet."""
+
+
 class ClaimNotOpen(ResolutionError):
     """The outcome is known, or the owner is still running the request."""
 
@@ -43,12 +47,12 @@
 def find_claim(store: KeyValueStore, workspace: str, key: str) -> Claim | None:
     """Return the claim of a workspace's Idempotency-Key, or `None`.
 
-    Raises `StoreError` if the store cannot be read.
+    Raises `StoreError` if the store cannot be read, and `ClaimUnreadable`.
     """
     read = store.read(_claim_key_of(workspace, key))
     if not read.found:
         return None
-    return msgspec.json.decode(read.found[0].value, type=Claim)
+    return _decode(read.found[0])
 
 
 def resolve_claim(
@@ -70,7 +74,7 @@
     if not read.found:
         raise ClaimUnknown(f'workspace {workspace} has no claim with this key')
     stored = read.found[0]
-    claim = msgspec.json.decode(stored.value, type=Claim)
+    claim = _decode(stored)
     if not _is_unresolved(kernel.find('membership'), claim):
         raise ClaimNotOpen(
             f'the claim is {claim.state.value}; it can be resolved only if its '
@@ -90,6 +94,13 @@
     return resolved
 
 
+def _decode(stored: StoredValue) -> Claim:
+    claim = claims.decode_claim(stored.value)
+    if claim is None:
+        raise ClaimUnreadable(f'the value at {stored.key} is no claim')
+    return claim
+
+
 def _claim_key_of(workspace: str, key: str) -> str:
     return store_keys.claim_key(workspace, claims.digest_claim_key(key))
 
--- a/packages/node/src/kumquathold_node/claims_service.py
+++ b/packages/node/src/kumquathold_node/claims_service.py
@@ -354,7 +354,9 @@
         if stored is None:
             self._give_up(pending)
             return
-        found = msgspec.json.decode(stored.value, type=Claim)
+        found = claims.decode_claim(stored.value)
+        if found is None:
+            logger.error('claim unreadable', key=pending.key)
         decision = claims.decide_repeat(found, pending.claim.fingerprint)
         self.metrics.count('claims.repeats')
         if isinstance(decision, claims.ReplayResponse):
@@ -426,8 +428,8 @@
         if not read.found:
             return False
         stored = read.found[0]
-        found = msgspec.json.decode(stored.value, type=Claim)
-        if found.claim_id != abandoned.claim_id:
+        found = claims.decode_claim(stored.value)
+        if found is None or found.claim_id != abandoned.claim_id:
             return True
         write = Write(abandoned.key, None, stored.mod_revision)
         return self.store.swap([write]).succeeded
@@ -468,7 +470,9 @@
         return stored is None
     if stored is None:
         return False
-    found = msgspec.json.decode(stored.value, type=Claim)
+    found = claims.decode_claim(stored.value)
+    if found is None:
+        return False
     is_own = found.claim_id == pending.claim.claim_id
     return is_own and found.state == pending.claim.state
 
--- a/tests/test_claims_store.py
+++ b/tests/test_claims_store.py
@@ -11,7 +11,9 @@
 import msgspec
 
 from kumquathold_core.claims import Claim, ClaimState
+from kumquathold_core.forwarding import Outcome, Refusal
 from kumquathold_node.claims_service import (
+    ClaimGrantedEvent,
     ClaimsService,
     OutcomeStoredEvent,
     StoreOutcomeCommand,
@@ -112,5 +114,31 @@
         self.assertEqual(self.store.state(), ClaimState.answered)
 
 
+class OddClaimTest(unittest.TestCase):
+    """A claim of another writer at the key of a request."""
+
+    def test_requests_written_with_it_are_answered_all_the_same(self) -> None:
+        store = OldReadingStore()
+        kernel = Kernel()
+        kernel.register('store', store)
+        kernel.register('metrics', mock.MagicMock())
+        kernel.register('transport', SimpleNamespace(incarnation=1))
+        owner = mock.MagicMock()
+        kernel.register('owner', owner)
+        settings: Any = SimpleNamespace(peer='10.0.0.1:1')
+        service = ClaimsService(kernel, settings)
+        for claim in ('odd', 'own'):
+            message = msgspec.structs.replace(WORK, claim=claim)
+            request = OwnerRequest(message, '10.0.0.9:1', queued_at=0.0)
+            service.request_claim(request)
+        odd = service.task.inbox.get_nowait()
+        store.entries[odd.key] = StoredValue(odd.key, b'[7]', 1, 1)
+        service.on_pending_write(odd)
+        refused, granted = (call.args[0] for call in owner.task.post.mock_calls)
+        self.assertEqual(refused.reason, Refusal.outcome_unknown)
+        self.assertEqual(refused.outcome, Outcome.unknown)
+        self.assertIsInstance(granted, ClaimGrantedEvent)
+
+
 if __name__ == '__main__':
     unittest.main()
