Log the error that ends a thread or a worker's job

Cause: an error on a thread that runs once, such as the one that releases the rate lease as a node drains, went to standard error as text, past the structured log; one on a worker that sends a large answer was kept by its executor and seen by nobody.

Result: test_error_that_ends_it_is_logged failed before (no line) and passes.

--- a/packages/node/src/kumquathold_node/logs.py
+++ b/packages/node/src/kumquathold_node/logs.py
@@ -84,6 +84,12 @@
         self.thread.join(FLUSH_SECONDS)
 
 
+def _log_thread_end(ended: threading.ExceptHookArgs) -> None:
+    """Log the error that has ended a thread without a supervisor."""
+    thread = ended.thread.name if ended.thread else ''
+    logger.opt(exception=ended.exc_value).error('thread ended', thread=thread)
+
+
 def _make_line(message: Message) -> dict[str, Any]:
     record = message.record
     line: dict[str, Any] = {
@@ -110,7 +116,9 @@
     logger.remove()
     logger.add(writer.put, level=level, format='{message}')
     logger.configure(extra={'node': node})
+    threading.excepthook = _log_thread_end
     try:
         yield
     finally:
+        threading.excepthook = threading.__excepthook__
         writer.close()
--- a/packages/node/src/kumquathold_node/owner_replies.py
+++ b/packages/node/src/kumquathold_node/owner_replies.py
@@ -7,6 +7,7 @@
 from typing import TypeVar
 
 import msgspec
+from loguru import logger
 
 from kumquathold_core import forwarding, reassembly, wire
 from kumquathold_core.forwarding import Outcome, Refusal
@@ -94,6 +95,9 @@
             )
         except NotSent:
             self.metrics.count('owner.answers_not_sent')
+        except Exception:
+            # The executor would keep the error to itself.
+            logger.exception('answer not sent', request=str(response.request))
 
 
 def _describe_entry(
--- a/tests/test_reader_threads.py
+++ b/tests/test_reader_threads.py
@@ -4,11 +4,14 @@
 
 import io
 import json
+import threading
 import unittest
 from types import SimpleNamespace
 from typing import Any
 from unittest import mock
 
+from loguru import logger
+
 from kumquathold_core.distribution import VersionNotice
 from kumquathold_node import health, logs, supervision
 from kumquathold_node.configuration import ConfigurationFoundEvent
@@ -38,6 +41,11 @@
     """An error that the supervised function does not expect."""
 
 
+def fail() -> None:
+    """Raise an error."""
+    raise Unexpected
+
+
 class SupervisorTest(unittest.TestCase):
     """Functions that raise exceptions, without threads or waits."""
 
@@ -92,6 +100,22 @@
         self.assertEqual(writer.dropped, 1)
 
 
+class UnsupervisedThreadTest(unittest.TestCase):
+    """A thread that runs once, such as the one that releases a lease."""
+
+    def test_error_that_ends_it_is_logged(self) -> None:
+        self.addCleanup(logger.remove)
+        output = self.enterContext(mock.patch('sys.stdout', io.StringIO()))
+        with logs.writing_logs('INFO', 'a-node'):
+            thread = threading.Thread(target=fail, name='rate-hand-back')
+            thread.start()
+            thread.join()
+        (line,) = map(json.loads, output.getvalue().splitlines())
+        self.assertEqual(line['event'], 'thread ended')
+        self.assertEqual(line['thread'], 'rate-hand-back')
+        self.assertIn('Unexpected', line['error'])
+
+
 class ReceiverTest(unittest.TestCase):
     """The thread that receives messages of peers."""
 
@@ -128,7 +152,6 @@
         kernel.register('metrics', metrics)
         kernel.register('request-gate', SimpleNamespace(is_draining=False))
         kernel.register('configuration', SimpleNamespace(current=version))
-        fail = mock.Mock(side_effect=Unexpected)
         kernel.add_background_thread('reader', fail)
         self.assertTrue(health.is_ready(kernel))
         with kernel.running():
