End each call to the store in time, whatever it sends

Cause: the timeout of a call applied to each read of the socket. A store that sent a byte now and then, or a body without end, kept the calling thread for ever: the one that follows the configuration would have heard of no further version, without a line in the log.

Change: calls to the store use the bounded connections of calls to upstreams; the timeout counts up to the complete response, and a body has a largest size.

--- a/packages/node/src/kumquathold_node/http_calls.py
+++ b/packages/node/src/kumquathold_node/http_calls.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client for the store, with one keep-alive connection per thread.
 
+The response of a call is bounded in size and time.
 A connection on which a call failed or timed out is closed, so that no later
 call waits on it. One that has gone silent fails within seconds, even if the
 call may wait for longer.
@@ -9,13 +10,17 @@
 
 import http.client
 import threading
+from time import monotonic
 
 import msgspec
 
 from kumquathold_node import tcp_probes
+from kumquathold_node.bounded_http import BoundedConnection
 from kumquathold_node.store import StoreUnavailable
 
 CALL_TIMEOUT_SECONDS = 1.0
+MAX_BODY_BYTES = 16_777_216
+"""Largest response of the store, far above its largest page."""
 
 
 class HttpResponse(msgspec.Struct, frozen=True):
@@ -28,7 +33,7 @@
     """The complete body."""
 
 
-class _ProbedConnection(http.client.HTTPConnection):
+class _ProbedConnection(BoundedConnection):
     """A connection that the kernel probes while a call waits."""
 
     def connect(self) -> None:
@@ -54,9 +59,9 @@
     ) -> HttpResponse:
         """Send a request and return its response.
 
-        `timeout` is in seconds and applies to each read and write of the
-        socket. Raises `StoreUnavailable` without a complete response; the
-        request may have taken effect all the same.
+        `timeout` is in seconds, up to the complete response. Raises
+        `StoreUnavailable` without one; the request may have taken effect all
+        the same.
         """
         try:
             return self._exchange(method, target, body, timeout)
@@ -75,12 +80,12 @@
         connection = getattr(self.local, 'connection', None)
         if connection is None:
             connection = _ProbedConnection(
-                self.address,
-                timeout=CALL_TIMEOUT_SECONDS,
+                self.address, CALL_TIMEOUT_SECONDS, MAX_BODY_BYTES
             )
             self.local.connection = connection
         if connection.sock is None:
             connection.connect()
+        connection.deadline = monotonic() + timeout
         connection.sock.settimeout(timeout)
         headers = {} if body is None else {'Content-Type': 'application/json'}
         connection.request(method, target, body, headers)
