Open new links once several peers in a row are silent

Cause: a node reset only the link to the peer that it had just asked, one each half second, and one of another zone each five seconds. So it took its peers for lost one after the other, and gossiped it.

Change: two peers in a row without an answer by links that were open before make the node doubt all of these (silence_detector, a decision without a network), and it opens new ones. Suspected nodes are asked again in each round, and a node that hears itself suspected answers with its own record, which many other updates would have delayed. The pending heartbeats and the clocks of peers are split from Membership (heartbeat_tracker).

Ruled out: starting suspicions anew at a doubt, and asking eight suspects a round, made no difference in the simulation.

--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -17,10 +17,12 @@
 import msgspec
 from loguru import logger
 
-from kumquathold_core import departures, gossip, member_table, peer_clock
+from kumquathold_core import departures, gossip, member_table
 from kumquathold_core.peer_clock import PeerClockReading
 from kumquathold_core.peer_selection import PeerSelector
+from kumquathold_core.silence_detector import SilenceDetector
 from kumquathold_node.freshness_service import FreshnessService
+from kumquathold_node.heartbeat_tracker import Heartbeat, HeartbeatTracker
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.settings import Settings
 from kumquathold_node.transport import Transport
@@ -29,12 +31,6 @@
     from kumquathold_core.identity import NodeRecord, UpstreamRecord
     from kumquathold_core.wire import Envelope
 
-DIRECT_TIMEOUT_SECONDS = 0.3
-"""Time in which a peer must respond before it is probed indirectly."""
-
-INDIRECT_TIMEOUT_SECONDS = 0.6
-"""Further time for the indirect probes, after which the peer is suspected."""
-
 SYNC_BATCH_RECORDS = 32
 """Most records in one `SyncResponse`."""
 
@@ -53,6 +49,9 @@
 STARTED_PEER_SHARE = 0.5
 """Share of the known nodes that a peer which has just started knows at most."""
 
+SUSPECTS_PER_ROUND = 3
+"""Most suspected nodes that get a heartbeat in a round."""
+
 DEAD_PING_SECONDS = 1.0
 """Interval of the heartbeats to a random dead node."""
 
@@ -145,19 +144,6 @@
     """Change count of the member table that the view was made from."""
 
 
-class Heartbeat(msgspec.Struct):
-    """A heartbeat that awaits its response."""
-
-    peer: str
-    """Address that it was sent to."""
-
-    sent_at: float
-    """Own monotonic clock, in seconds."""
-
-    is_indirect: bool = False
-    """Whether indirect probes were requested."""
-
-
 class Membership:
     """Owns the member table; other threads read `view`."""
 
@@ -172,13 +158,9 @@
         self.transport: Transport = kernel.find('transport')
         self.freshness: FreshnessService = kernel.find('freshness')
         self.table = member_table.MemberTable(own, monotonic())
-        self.heartbeats: dict[int, Heartbeat] = {}
-        self.clock_readings: dict[str, PeerClockReading] = {}
-        self.clock_waiters: dict[str, list[Future[PeerClockReading]]] = {}
-        self.answered_at: dict[str, float] = {}
-        """When the heartbeat was sent that each peer answered last."""
+        self.heartbeats = HeartbeatTracker()
+        self.silence_detector = SilenceDetector()
         self.watched_peers: tuple[str, ...] = ()
-        self.last_ping_number = 0
         self.seeds: tuple[str, ...] = ()
         self.last_sync_at = -SYNC_INTERVAL_SECONDS
         self.last_dead_ping_at = 0.0
@@ -219,7 +201,7 @@
         and waits for at most `timeout` seconds; returns `None` on timeout.
         """
         node = self.view.by_address.get(peer)
-        reading = self.clock_readings.get(peer)
+        reading = self.heartbeats.readings.get(peer)
         min_incarnation = node.incarnation if node else 0
         if reading is not None and reading.incarnation >= min_incarnation:
             return reading
@@ -235,7 +217,7 @@
 
         In seconds of the own monotonic clock, 0 for never.
         """
-        return self.answered_at.get(peer, 0.0)
+        return self.heartbeats.answered_at.get(peer, 0.0)
 
     def run_round(self) -> None:
         """Send this round's heartbeats and act on those not answered."""
@@ -250,9 +232,7 @@
             self._ping(peer, now)
         for watched in self.watched_peers:
             self._ping(watched, now)
-        if now - self.last_dead_ping_at >= DEAD_PING_SECONDS:
-            self.last_dead_ping_at = now
-            self._ping_dead(now)
+        self._ping_unreachable(now)
         self.transport.close_idle()
         self._refresh_view()
 
@@ -279,7 +259,10 @@
             clock=monotonic(),
             table_digest=self.table.digest,
             freshness=self.freshness.make_report(),
-            updates=self._take_updates_for(envelope.sender),
+            updates=(
+                *self._take_updates_for(envelope.sender),
+                *_make_refutation(self.table, ping.updates),
+            ),
         )
         self.transport.try_send(envelope.sender, pong)
         self.freshness.record_peer_version(envelope.sender, ping.freshness)
@@ -296,24 +279,19 @@
             )
             self.transport.try_send(pong.on_behalf_of, relayed)
             return
-        heartbeat = self.heartbeats.pop(pong.number, None)
+        heartbeat = self.heartbeats.take(pong.number)
         if heartbeat is None:
             return
+        self.silence_detector.record_answer(
+            self.transport.get_opened_time(heartbeat.peer)
+        )
         reading = PeerClockReading(
             incarnation=envelope.incarnation,
             clock=pong.clock,
             requested_at=heartbeat.sent_at,
             received_at=monotonic(),
         )
-        reading = peer_clock.select_reading(
-            self.clock_readings.get(envelope.sender), reading
-        )
-        self.clock_readings[envelope.sender] = reading
-        self.answered_at[envelope.sender] = max(
-            heartbeat.sent_at, self.get_last_answer_time(envelope.sender)
-        )
-        for reply in self.clock_waiters.pop(envelope.sender, ()):
-            reply.set_result(reading)
+        self.heartbeats.record_reading(envelope.sender, reading)
         self.freshness.record_peer_report(
             envelope.sender,
             pong.freshness,
@@ -336,7 +314,7 @@
 
     def on_indirect_pong(self, envelope: Envelope[gossip.IndirectPong]) -> None:
         """Count a heartbeat as answered; its peer responded to a helper."""
-        self.heartbeats.pop(envelope.message.number, None)
+        self.heartbeats.take(envelope.message.number)
 
     def on_sync_request(self, envelope: Envelope[gossip.SyncRequest]) -> None:
         """Send the records that the requester lacks, in batches.
@@ -387,7 +365,7 @@
 
     def on_read_clock(self, command: ReadClockCommand) -> None:
         """Request a reading of a peer's clock by a heartbeat."""
-        self.clock_waiters.setdefault(command.peer, []).append(command.reply)
+        self.heartbeats.await_reading(command.peer, command.reply)
         self._ping(command.peer, monotonic())
 
     def on_watch_peers(self, command: WatchPeersCommand) -> None:
@@ -420,33 +398,46 @@
         )
 
     def _ping(self, peer: str, now: float) -> None:
-        self.last_ping_number += 1
-        self.heartbeats[self.last_ping_number] = Heartbeat(peer, now)
-        self.transport.try_send(
-            peer, self._make_ping(peer, self.last_ping_number)
-        )
+        number = self.heartbeats.add(peer, now)
+        self.transport.try_send(peer, self._make_ping(peer, number))
 
-    def _ping_dead(self, now: float) -> None:
-        """Probe a random dead node.
+    def _ping_unreachable(self, now: float) -> None:
+        """Ask suspected nodes again, and now and then a random dead one.
 
-        After a partition both sides may consider each other dead, and would
-        not probe each other otherwise.
+        The path may have been at fault, and may work again. After a partition
+        both sides may consider each other dead, and would not probe each other
+        otherwise.
         """
+        suspects = self.table.list_suspects()
+        count = min(len(suspects), SUSPECTS_PER_ROUND)
+        for suspect in self.rng.sample(suspects, count):
+            self._ping(suspect, now)
         dead = self.table.list_dead()
-        if dead:
+        if dead and now - self.last_dead_ping_at >= DEAD_PING_SECONDS:
+            self.last_dead_ping_at = now
             self._ping(self.rng.choice(dead), now)
 
     def _check_heartbeats(self, now: float) -> None:
-        for number, heartbeat in list(self.heartbeats.items()):
-            age = now - heartbeat.sent_at
-            if age >= DIRECT_TIMEOUT_SECONDS + INDIRECT_TIMEOUT_SECONDS:
-                self.heartbeats.pop(number)
-                self.transport.reset(heartbeat.peer, heartbeat.sent_at)
-                if self.table.mark_suspect(heartbeat.peer, now):
-                    logger.info('node suspected', peer=heartbeat.peer)
-            elif age >= DIRECT_TIMEOUT_SECONDS and not heartbeat.is_indirect:
-                heartbeat.is_indirect = True
-                self._request_indirect_pings(number, heartbeat.peer)
+        for missed in self.heartbeats.take_unanswered(now):
+            self.transport.reset(missed.peer, missed.sent_at)
+            if self.table.mark_suspect(missed.peer, now):
+                logger.info('node suspected', peer=missed.peer)
+            if missed.peer not in self.table.list_dead():
+                self._doubt_connections(missed, now)
+        for number, late in self.heartbeats.take_late(now):
+            self._request_indirect_pings(number, late.peer)
+
+    def _doubt_connections(self, missed: Heartbeat, now: float) -> None:
+        """Open new connections if the present ones seem to be silent."""
+        doubted_since = self.silence_detector.record_timeout(
+            missed.peer, missed.sent_at, now
+        )
+        if doubted_since is None:
+            return
+        self.transport.reset_all(doubted_since)
+        logger.warning(
+            'connections doubted', suspects=len(self.table.list_suspects())
+        )
 
     def _request_indirect_pings(self, number: int, subject: str) -> None:
         request = gossip.IndirectPingRequest(number=number, subject=subject)
@@ -528,3 +519,16 @@
 def _make_sync_request(table: member_table.MemberTable) -> gossip.SyncRequest:
     own = table.make_update(table.own.address)
     return gossip.SyncRequest((own,), table.list_short_hashes())
+
+
+def _make_refutation(
+    table: member_table.MemberTable, heard: tuple[gossip.MemberUpdate, ...]
+) -> tuple[gossip.MemberUpdate, ...]:
+    """Return the own record for a peer that reported something of it.
+
+    While many updates spread, it would not soon be among those taken.
+    """
+    own = table.own.address
+    if any(update.record.address == own for update in heard):
+        return (table.make_update(own),)
+    return ()
--- a/packages/node/src/kumquathold_node/transport.py
+++ b/packages/node/src/kumquathold_node/transport.py
@@ -160,6 +160,22 @@
         self.metrics.count('peers.connections_reset')
         link.socket.close()
 
+    def reset_all(self, opened_before: float) -> None:
+        """Close the connections that were dialled before a time.
+
+        In seconds of the own monotonic clock; the next sends open new ones.
+        """
+        for receiver in list(self.links):
+            self.reset(receiver, opened_before)
+
+    def get_opened_time(self, receiver: str) -> float:
+        """Return when the connection to a peer was dialled.
+
+        In seconds of the own monotonic clock, infinite without a connection.
+        """
+        link = self.links.get(receiver)
+        return link.opened_at if link else math.inf
+
     def get_last_receive_time(self, sender: str) -> float:
         """Return when a peer's last message arrived, 0 for never.
 
--- a/tests/test_rate_handover.py
+++ b/tests/test_rate_handover.py
@@ -9,7 +9,7 @@
 from unittest import mock
 
 from kumquathold_core import holder_validity, member_table
-from kumquathold_node import membership, rate_holder
+from kumquathold_node import heartbeat_tracker, rate_holder
 from kumquathold_node.process_clock import read_boot_clock
 from kumquathold_node.rate_holder import HoldGroupsCommand
 from kumquathold_standins.fleet import Fleet, running_fleet
@@ -46,8 +46,8 @@
 
     def test_it_expires_before_a_peer_declares_the_holder_dead(self) -> None:
         declared_dead_after = (
-            membership.DIRECT_TIMEOUT_SECONDS
-            + membership.INDIRECT_TIMEOUT_SECONDS
+            heartbeat_tracker.DIRECT_TIMEOUT_SECONDS
+            + heartbeat_tracker.INDIRECT_TIMEOUT_SECONDS
             + member_table.SUSPICION_TIMEOUT_SECONDS
         )
         self.assertLess(holder_validity.CONTACT_SECONDS, declared_dead_after)
