End the process within its grace period, whatever stops slowly

Cause: draining ends at nine tenths of the grace period; then servers, tasks and sockets are stopped one after the other, each with a wait of its own, and nothing bounds their sum.

Change: at 95 in 100 of the grace period the process ends by itself, without a flush.

Result: test_node_whose_threads_do_not_stop_exits_in_time_too failed before (still running after 6 s of 6 s) and passes.

--- a/packages/node/src/kumquathold_node/main.py
+++ b/packages/node/src/kumquathold_node/main.py
@@ -79,6 +79,7 @@
         seeds.join()
         logger.info('node started', zone=settings.zone, region=settings.region)
         _run_shutdown(shutdown)
+        shutdown.limit_end(_end_at_once)
     logger.info('node stopped')
 
 
@@ -296,6 +297,11 @@
     os._exit(EXIT_OK)
 
 
+def _end_at_once() -> None:
+    """End the process, even if its output cannot be written."""
+    os._exit(EXIT_OK)
+
+
 def _run_or_exit(settings: Settings, adapter: Adapter) -> None:
     try:
         run(settings, adapter)
--- a/packages/node/src/kumquathold_node/shutdown.py
+++ b/packages/node/src/kumquathold_node/shutdown.py
@@ -15,6 +15,7 @@
 
 import math
 import threading
+from collections.abc import Callable
 from time import monotonic, sleep
 
 from loguru import logger
@@ -43,6 +44,9 @@
 DRAIN_END_SHARE = 0.9
 """Share of the grace period after which draining ends in any case."""
 
+END_BY_SHARE = 0.95
+"""Share of the grace period after which the process ends in any case."""
+
 POLL_INTERVAL_SECONDS = 0.05
 
 
@@ -66,6 +70,17 @@
         self.requested_at = min(self.requested_at, monotonic())
         self.requested.set()
 
+    def limit_end(self, end_process: Callable[[], None]) -> None:
+        """End the process near the end of its grace period at the latest.
+
+        After draining, what the node has started is stopped. These steps wait
+        for threads that may be slow, and are not worth a kill.
+        """
+        end_by = self.requested_at + self.grace * END_BY_SHARE
+        timer = threading.Timer(max(0, end_by - monotonic()), end_process)
+        timer.daemon = True
+        timer.start()
+
     def wait_and_drain(self) -> None:
         """Wait until the shutdown is requested, then drain the node.
 
--- a/tests/test_site_node.py
+++ b/tests/test_site_node.py
@@ -32,6 +32,8 @@
 from tests.test_site_platform import SECRET, make_config
 
 ROOT = Path(__file__).parent.parent
+PROGRAM = ROOT / 'platform' / 'node.py'
+SLOW_ENDING_PROGRAM = ROOT / 'tests' / 'slow_ending_node.py'
 GRACE_SECONDS = 6
 BORN_MILLISECONDS = 1_780_339_603_000
 KEY_HEADERS = {'Api-Key': SECRET}
@@ -77,7 +79,7 @@
         self.sequence = itertools.count(1)
         self.ids = itertools.count(1)
 
-    def start(self, store: str, log: Path) -> None:
+    def start(self, store: str, log: Path, program: Path) -> None:
         """Start the node as the deploy file does, with its output in `log`."""
         flags = {
             **self.addresses,
@@ -94,7 +96,7 @@
             'fleet-secret': 'a-secret-for-this-test-only',
             'operator-secret': 'another-secret-for-this-test',
         }
-        arguments = [sys.executable, str(ROOT / 'platform' / 'node.py')]
+        arguments = [sys.executable, str(program)]
         for flag, given in flags.items():
             arguments.extend((f'--{flag}', str(given)))
         with log.open('wb') as out:
@@ -144,7 +146,7 @@
 
 
 @contextmanager
-def running_node() -> Iterator[SiteNode]:
+def running_node(program: Path = PROGRAM) -> Iterator[SiteNode]:
     """Run a node with its stand-ins while the block runs."""
     node = SiteNode(SiteStore(), SiteTarget())
     config = json.loads(make_config())
@@ -158,7 +160,7 @@
         serving_target(node.target) as target,
     ):
         node.target_address = target
-        node.start(store, Path(directory) / 'node.log')
+        node.start(store, Path(directory) / 'node.log', program)
         try:
             wait_until(node.is_ready, 'readiness')
             wait_until(lambda: node.send_heartbeat() == 200, 'announcement')
@@ -274,3 +276,8 @@
             wait_until(lambda: not node.is_ready(), 'no longer ready')
             self.assertEqual(node.process.wait(GRACE_SECONDS), 0)
             self.assertLess(time.monotonic() - started_at, GRACE_SECONDS)
+
+    def test_node_whose_threads_do_not_stop_exits_in_time_too(self) -> None:
+        with running_node(SLOW_ENDING_PROGRAM) as node:
+            node.process.send_signal(signal.SIGTERM)
+            self.assertEqual(node.process.wait(GRACE_SECONDS), 0)
