--- a/packages/node/src/kumquathold_node/configuration.py
+++ b/packages/node/src/kumquathold_node/configuration.py
@@ -23,8 +23,8 @@
 from kumquathold_node import freshness_service
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.kernel import Kernel, Task
-from kumquathold_node.membership import (
-    Membership,
+from kumquathold_node.membership import Membership
+from kumquathold_node.membership_messages import (
     PingCommand,
 )
 from kumquathold_node.metrics import Metrics
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -24,11 +24,22 @@
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.heartbeat_tracker import Heartbeat, HeartbeatTracker
 from kumquathold_node.kernel import Kernel, Task
+from kumquathold_node.membership_messages import (
+    DeparturesLearnedEvent,
+    GroupsHeldEvent,
+    JoinCommand,
+    LeaveCommand,
+    PeerStartedEvent,
+    PingCommand,
+    ReadClockCommand,
+    UpstreamsChangedEvent,
+    WatchPeersCommand,
+)
 from kumquathold_node.settings import Settings
 from kumquathold_node.transport import Transport
 
 if TYPE_CHECKING:
-    from kumquathold_core.identity import NodeRecord, UpstreamRecord
+    from kumquathold_core.identity import NodeRecord
     from kumquathold_core.wire import Envelope
 
 SYNC_BATCH_RECORDS = 32
@@ -56,72 +67,6 @@
 """Interval of the heartbeats to a random dead node."""
 
 
-class UpstreamsChangedEvent(msgspec.Struct, frozen=True):
-    """The upstreams of this node changed."""
-
-    upstreams: tuple[UpstreamRecord, ...]
-    """All upstreams that are announced now."""
-
-
-class GroupsHeldEvent(msgspec.Struct, frozen=True):
-    """The rate groups that this node holds changed."""
-
-    groups: tuple[int, ...]
-    """All groups that are held now."""
-
-
-class DeparturesLearnedEvent(msgspec.Struct, frozen=True):
-    """A peer knows of upstreams beside this node that have left.
-
-    An earlier process of this node heard of it.
-    """
-
-    upstreams: tuple[UpstreamRecord, ...]
-    """These upstreams."""
-
-
-class PeerStartedEvent(msgspec.Struct, frozen=True):
-    """A peer that knows little of the fleet has requested the member table."""
-
-    peer: str
-    """Its address."""
-
-
-class LeaveCommand(msgspec.Struct, frozen=True):
-    """Publish that this node drains and takes no new requests."""
-
-
-class JoinCommand(msgspec.Struct, frozen=True):
-    """Join the fleet by requesting the table of one of the seeds."""
-
-    addresses: tuple[str, ...]
-    """Seed addresses, from the settings or the seed record in the store."""
-
-
-class PingCommand(msgspec.Struct, frozen=True):
-    """Send a heartbeat to a peer now, outside its round."""
-
-    peer: str
-    """The peer's address."""
-
-
-class ReadClockCommand(msgspec.Struct, frozen=True):
-    """Read a peer's clock, for the deadlines in messages sent to it."""
-
-    peer: str
-    """The peer's address."""
-
-    reply: Future[PeerClockReading]
-    """Receives the reading when the peer responds."""
-
-
-class WatchPeersCommand(msgspec.Struct, frozen=True):
-    """Send a heartbeat to these peers in each round, beside its own."""
-
-    peers: tuple[str, ...]
-    """Peer addresses; empty to stop."""
-
-
 class FleetView(msgspec.Struct, frozen=True):
     """Immutable view of the member table, replaced on each change."""
 
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -30,9 +30,9 @@
 from kumquathold_node.crash_reports import CrashReports
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.kernel import Kernel, Task
-from kumquathold_node.membership import (
+from kumquathold_node.membership import Membership
+from kumquathold_node.membership_messages import (
     DeparturesLearnedEvent,
-    Membership,
     PeerStartedEvent,
 )
 from kumquathold_node.metrics import Metrics
--- a/packages/node/src/kumquathold_node/seeds.py
+++ b/packages/node/src/kumquathold_node/seeds.py
@@ -14,7 +14,10 @@
 from kumquathold_core import member_table, store_keys
 from kumquathold_core.decoding import InvalidContent, decode_json
 from kumquathold_node.kernel import Kernel, Task
-from kumquathold_node.membership import JoinCommand, Membership
+from kumquathold_node.membership import Membership
+from kumquathold_node.membership_messages import (
+    JoinCommand,
+)
 from kumquathold_node.settings import Settings, is_address
 from kumquathold_node.store import KeyValueStore, StoredValue, StoreError, Write
 
