Ignore late announcements of an earlier process, whatever their number

Cause: compared the numbers of two processes with each other. A late announcement of an earlier process was taken once the present one had sent 100,000 more, and its old state counted.

Result: test_late_number_of_an_earlier_process_is_ignored failed before and passes.

--- a/packages/core/src/kumquathold_core/announcement_tracker.py
+++ b/packages/core/src/kumquathold_core/announcement_tracker.py
@@ -73,10 +73,10 @@
             self.latest[name] = LastAnnouncement(stamp, leaving)
             return True
         step = stamp.sequence - known.stamp.sequence
-        if step > MAX_SEQUENCE_STEP:
+        if stamp.lifetime < known.stamp.lifetime or step > MAX_SEQUENCE_STEP:
             return False
         # Far behind, it is the known number that was not the upstream's own.
-        is_older = stamp < known.stamp and step >= -MAX_SEQUENCE_STEP
+        is_older = -MAX_SEQUENCE_STEP <= step < 0
         # Without a reported lifetime (0), a restart cannot be told apart.
         is_final = known.has_left and stamp.lifetime > 0
         if is_older or (is_final and not leaving):
--- a/tests/test_odd_announcements.py
+++ b/tests/test_odd_announcements.py
@@ -79,3 +79,9 @@
         tracker.admit('i', AnnouncementStamp(100, 2**62), leaving=False)
         drain = AnnouncementStamp(100, 6)
         self.assertTrue(tracker.admit('i', drain, leaving=True))
+
+    def test_late_number_of_an_earlier_process_is_ignored(self) -> None:
+        tracker = AnnouncementTracker()
+        tracker.admit('i', AnnouncementStamp(200, 10**6), leaving=False)
+        late = AnnouncementStamp(100, 3)
+        self.assertFalse(tracker.admit('i', late, leaving=False))
