--- a/packages/node/src/kumquathold_node/administration.py
+++ b/packages/node/src/kumquathold_node/administration.py
@@ -28,9 +28,7 @@
 from kumquathold_node.http_server import StartResponse, WsgiApp
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import Membership
-from kumquathold_node.membership_messages import (
-    PingCommand,
-)
+from kumquathold_node.membership_messages import PingCommand
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner import Owner
 from kumquathold_node.settings import Settings
--- a/packages/node/src/kumquathold_node/configuration.py
+++ b/packages/node/src/kumquathold_node/configuration.py
@@ -24,9 +24,7 @@
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import Membership
-from kumquathold_node.membership_messages import (
-    PingCommand,
-)
+from kumquathold_node.membership_messages import PingCommand
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.settings import Settings
 from kumquathold_node.store import KeyValueStore, StoredValue, StoreError
--- a/packages/node/src/kumquathold_node/crash_reports.py
+++ b/packages/node/src/kumquathold_node/crash_reports.py
@@ -10,9 +10,7 @@
 from kumquathold_core import crash_tracker, forwarding
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import Membership
-from kumquathold_node.membership_messages import (
-    PeerStartedEvent,
-)
+from kumquathold_node.membership_messages import PeerStartedEvent
 from kumquathold_node.owner_requests import OwnerRequest
 from kumquathold_node.transport import Transport
 
--- a/packages/node/src/kumquathold_node/holder_contacts.py
+++ b/packages/node/src/kumquathold_node/holder_contacts.py
@@ -9,9 +9,7 @@
 
 from kumquathold_core import holder_validity, member_table
 from kumquathold_node.membership import Membership
-from kumquathold_node.membership_messages import (
-    WatchPeersCommand,
-)
+from kumquathold_node.membership_messages import WatchPeersCommand
 from kumquathold_node.settings import Settings
 
 MAX_CONTACTS = 16
--- a/packages/node/src/kumquathold_node/rate_election.py
+++ b/packages/node/src/kumquathold_node/rate_election.py
@@ -22,9 +22,7 @@
 from kumquathold_node.holder_contacts import HolderContacts
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import Membership
-from kumquathold_node.membership_messages import (
-    GroupsHeldEvent,
-)
+from kumquathold_node.membership_messages import GroupsHeldEvent
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.process_clock import read_boot_clock
 from kumquathold_node.rate_holder import HoldGroupsCommand, RateHolder
--- a/packages/node/src/kumquathold_node/seeds.py
+++ b/packages/node/src/kumquathold_node/seeds.py
@@ -15,9 +15,7 @@
 from kumquathold_core.decoding import InvalidContent, decode_json
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import Membership
-from kumquathold_node.membership_messages import (
-    JoinCommand,
-)
+from kumquathold_node.membership_messages import JoinCommand
 from kumquathold_node.settings import Settings, is_address
 from kumquathold_node.store import KeyValueStore, StoredValue, StoreError, Write
 
--- a/packages/node/src/kumquathold_node/shutdown.py
+++ b/packages/node/src/kumquathold_node/shutdown.py
@@ -23,9 +23,7 @@
 from kumquathold_node.caller_server import RequestGate
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import Membership
-from kumquathold_node.membership_messages import (
-    LeaveCommand,
-)
+from kumquathold_node.membership_messages import LeaveCommand
 from kumquathold_node.owner import DrainCommand, Owner
 from kumquathold_node.rate_election import RateElection
 from kumquathold_node.settings import Settings
--- a/packages/node/src/kumquathold_node/upstream_roster.py
+++ b/packages/node/src/kumquathold_node/upstream_roster.py
@@ -18,9 +18,7 @@
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import Membership
-from kumquathold_node.membership_messages import (
-    UpstreamsChangedEvent,
-)
+from kumquathold_node.membership_messages import UpstreamsChangedEvent
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner_requests import Upstream
 from kumquathold_node.upstream_responses import ResponseMemory
--- a/tests/owner_stage.py
+++ b/tests/owner_stage.py
@@ -19,9 +19,7 @@
 from kumquathold_node.announcements import AnnouncedEvent
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.kernel import Kernel
-from kumquathold_node.membership_messages import (
-    UpstreamsChangedEvent,
-)
+from kumquathold_node.membership_messages import UpstreamsChangedEvent
 from kumquathold_node.owner import Owner
 from kumquathold_node.owner_requests import OwnerRequest, Upstream
 from tests.test_jobs import WORK
--- a/tests/test_left_upstreams.py
+++ b/tests/test_left_upstreams.py
@@ -16,9 +16,7 @@
 from kumquathold_core.wire import Envelope
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import Membership
-from kumquathold_node.membership_messages import (
-    DeparturesLearnedEvent,
-)
+from kumquathold_node.membership_messages import DeparturesLearnedEvent
 from kumquathold_standins.processes import Node
 from tests.owner_stage import OwnerStage
 from tests.support import make_node_record
