--- a/packages/core/src/kumquathold_core/decoding.py
+++ b/packages/core/src/kumquathold_core/decoding.py
@@ -16,11 +16,13 @@
 """Largest integer that messages between nodes carry with either sign."""
 
 MAX_RANK = 1_000_000
+"""Largest priority, of either sign."""
 
 MAX_DURATION_MILLISECONDS = 31_622_400_000
 """A year, far below what clocks and waits can take."""
 
 MAX_RATE_PER_SECOND = 1e9
+"""Largest rate limit, in requests a second."""
 
 MAX_NAME_CHARACTERS = 256
 
--- a/tests/test_site_platform.py
+++ b/tests/test_site_platform.py
@@ -9,6 +9,7 @@
 from http import HTTPStatus
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 from kumquathold_core.forwarding import Outcome, Refusal
 from kumquathold_core.routing import RouteTable, match_route
@@ -23,7 +24,7 @@
     Write,
 )
 from tests.site_announcements import AnnouncementsCase
-from tests.site_store import SiteStore, serving_store
+from tests.site_store import Call, SiteStore, serving_store
 
 ROOT = Path(__file__).parent.parent
 sys.path.append(str(ROOT / 'platform'))
@@ -118,6 +119,24 @@
             [one.key for one in found], [f'p/{number}' for number in range(5)]
         )
 
+    def test_change_between_two_pages_is_reported_by_a_watch(self) -> None:
+        self.store.page_size = 1
+        self.store.put('p/0', b'old')
+        self.store.put('p/1', b'x')
+        read_page = self.store.on_range
+
+        def read_and_change(call: Call) -> tuple[int, Any]:
+            page = read_page(call)
+            if 'after' not in call.query:
+                self.store.put('p/0', b'new')
+            return page
+
+        with mock.patch.object(self.store, 'on_range', read_and_change):
+            after = self.client.read_prefix('p/').revision
+        changes = self.client.watch('p/', after, 0.1).changes
+        stored = [one.stored for one in changes]
+        self.assertEqual([one.value for one in stored if one], [b'new'])
+
     def test_lost_response_raises_and_closes_the_connection(self) -> None:
         self.store.responses_to_lose = 1
         with self.assertRaises(StoreUnavailable):
