Refuse a request once as a draining node must respond

Cause: at 85 in 100 of the grace period the ingress cancels what still waits, with the reason that owners give which leave. Such a refusal is sent on to the next owner, and there cancelled at once, and so on: up to eight times, each with a pause for the cancellation.

Change: the time by which a draining node must respond counts like the deadline where it is decided whether to send a request on, to retry it or to wait for an upstream.

Result: test_request_is_refused_once_and_not_sent_on failed before (eight attempts) and passes.

--- a/packages/node/src/kumquathold_node/attempts.py
+++ b/packages/node/src/kumquathold_node/attempts.py
@@ -118,6 +118,14 @@
         self.metrics: Metrics = kernel.find('metrics')
         self.attempt_numbers = itertools.count(1)
 
+    def get_end_time(self, admitted: AdmittedRequest) -> float:
+        """Return when a request must have its response.
+
+        In seconds of the own monotonic clock: its deadline, or earlier if the
+        node drains.
+        """
+        return min(admitted.deadline, self.request_gate.give_up_at)
+
 
 class Attempt:
     """One attempt of a request at one upstream."""
@@ -280,10 +288,7 @@
             )
 
     def _next_timeout(self, status_interval: float) -> float:
-        deadline = min(
-            self.admitted.deadline, self.context.request_gate.give_up_at
-        )
-        time_left = deadline - monotonic()
+        time_left = self.context.get_end_time(self.admitted) - monotonic()
         slow_after = self.started_at + self.selection.slow_limit - monotonic()
         timeout = min(status_interval, time_left, DISCONNECT_CHECK_SECONDS)
         if not self.is_counted_bad and slow_after > 0:
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -327,7 +327,7 @@
             crashed=history.crashes,
             overloaded=history.overloaded,
         )
-        is_in_time = monotonic() < admitted.deadline
+        is_in_time = monotonic() < self.context.get_end_time(admitted)
         is_bounded = len(history.outcomes) < retries.MAX_TOTAL_ATTEMPTS
         if not is_allowed or not is_in_time or not is_bounded:
             return False
@@ -346,7 +346,8 @@
         give_up_at = admitted.request.arrived_at + STARTUP_TIMEOUT_SECONDS
         while True:
             selection = self.balancer.choose(selection_request)
-            is_late = monotonic() >= min(give_up_at, admitted.deadline)
+            end_at = min(give_up_at, self.context.get_end_time(admitted))
+            is_late = monotonic() >= end_at
             if selection is not None or is_late:
                 return selection
             sleep(SELECTION_RETRY_SECONDS)
@@ -363,7 +364,7 @@
                 return ended
             if ended.reason == Refusal.retry_budget:
                 self._record_spent_budget(admitted, history)
-            is_late = monotonic() >= admitted.deadline
+            is_late = monotonic() >= self.context.get_end_time(admitted)
             if is_late or not self._is_rerouted(history, ended):
                 return ended
             self.metrics.count(f'ingress.sent_on.{ended.reason.value}')
