Give the gate of a test the time by which a drain responds

test_departed_callers replaces all services by mocks. The gate of the test now has that time, infinite as on a node that does not drain; what is asserted stays.

--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 from time import monotonic
 from types import SimpleNamespace
@@ -23,6 +24,8 @@
         settings: Any = SimpleNamespace(peer='10.0.0.1:1', service='')
         dialect: Any = SimpleNamespace(caller_service='')
         self.ingress = Ingress(self.kernel, settings, dialect)
+        gate = SimpleNamespace(give_up_at=math.inf)
+        self.ingress.context.request_gate = gate
         self.choose = mock.MagicMock(return_value=None)
         self.ingress.balancer = mock.MagicMock(choose=self.choose)
 
