Tell each restarted peer which requests crash upstreams

Cause, by reading: a node is told by its peers if it requests their tables while it knows half of the nodes at most. If heartbeats with updates reach it first, it knows all of them and is told nothing.

Change: a peer whose record is of a later process is told, however one hears of it.

--- a/packages/core/src/kumquathold_core/member_table.py
+++ b/packages/core/src/kumquathold_core/member_table.py
@@ -127,6 +127,13 @@
         )
         self._put(Member(self.own, MemberState.alive, now))
 
+    def is_restart(self, record: NodeRecord) -> bool:
+        """Whether a record is of a later process of a known node."""
+        known = self.members.get(record.address)
+        if known is None:
+            return False
+        return record.incarnation > known.record.incarnation
+
     def merge(self, update: MemberUpdate, now: float) -> bool:
         """Apply an update; return whether it changed the table."""
         address = update.record.address
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -271,8 +271,7 @@
         )
         known_count = len(envelope.message.record_hashes)
         if known_count <= len(self.table.members) * STARTED_PEER_SHARE:
-            started = PeerStartedEvent(envelope.sender)
-            self.kernel.find('owner').task.post(started)
+            _report_started(self.kernel, envelope.sender)
         self._merge(envelope.message.updates)
         for start in range(0, len(updates), SYNC_BATCH_RECORDS):
             batch = tuple(updates[start : start + SYNC_BATCH_RECORDS])
@@ -416,6 +415,8 @@
         for update in updates:
             if update.record.address == self.table.own.address:
                 self._learn_departures(update.record)
+            elif self.table.is_restart(update.record):
+                _report_started(self.kernel, update.record.address)
             self.table.merge(update, now)
         incarnation = self.table.own.incarnation
         if incarnation != self.transport.incarnation:
@@ -477,3 +478,7 @@
     if any(update.record.address == own for update in heard):
         return (table.make_update(own),)
     return ()
+
+
+def _report_started(kernel: Kernel, peer: str) -> None:
+    kernel.find('owner').task.post(PeerStartedEvent(peer))
--- a/packages/node/src/kumquathold_node/membership_messages.py
+++ b/packages/node/src/kumquathold_node/membership_messages.py
@@ -35,7 +35,11 @@
 
 
 class PeerStartedEvent(msgspec.Struct, frozen=True):
-    """A peer that knows little of the fleet has requested the member table."""
+    """A peer has started: it may lack what its earlier process knew.
+
+    Its record is of a later process, or it knows little of the fleet and has
+    requested the member table.
+    """
 
     peer: str
     """Its address."""
