Count a failure before the node stops being ready for it

Cause: the supervisor marked the third failure, wrote the log line and only then counted it, so for a moment a node was not ready for a reason that no counter showed.

Change: the failure is counted first.

--- a/packages/node/src/kumquathold_node/supervision.py
+++ b/packages/node/src/kumquathold_node/supervision.py
@@ -76,10 +76,10 @@
         except Exception:
             if monotonic() - self.started_at >= STABLE_SECONDS:
                 self.failures = 0
+            self.on_failure(self.name)
             self.failures += 1
             logger.exception(
                 'thread failed', thread=self.name, failures=self.failures
             )
-            self.on_failure(self.name)
             return False
         return True
