Log a restore of the store, and an older configuration that is ignored

Change: the adapters read the sign of the store's history from each response (the header Store-Era, or cluster_id and raft_term) and compare it with what was known when the call began; a change is logged once and counted as platform.restored. A version below the one in force is logged. No decision depends on it yet. The two stand-ins of the store can go back to a copy.

--- a/packages/core/src/kumquathold_core/etcd.py
+++ b/packages/core/src/kumquathold_core/etcd.py
@@ -34,6 +34,12 @@
     revision: str = '0'
     """The store's revision when it answered."""
 
+    cluster_id: str = ''
+    """The cluster that answered; a restored one usually has another id."""
+
+    raft_term: str = '0'
+    """The cluster's term, which never falls."""
+
 
 class KeyValue(msgspec.Struct):
     """A key with its value and metadata."""
@@ -201,3 +207,8 @@
 
     result: LeaseResponse
     """The lease after the call."""
+
+    @property
+    def header(self) -> Header:
+        """The header of the wrapped response."""
+        return self.result.header
--- a/packages/node/src/kumquathold_node/configuration.py
+++ b/packages/node/src/kumquathold_node/configuration.py
@@ -261,7 +261,7 @@
         `source` is `store`, or the address of the peer that sent it.
         """
         if configuration.version <= self.current.version:
-            self.metrics.count('configuration.older_ignored')
+            self._ignore(configuration.version, source)
             return
         self.current = configuration
         self.is_in_force.set()
@@ -276,6 +276,17 @@
             source=source,
         )
 
+    def _ignore(self, version: int, source: str) -> None:
+        """Count a version that is not newer; log one that is older."""
+        self.metrics.count('configuration.older_ignored')
+        if version < self.current.version:
+            logger.info(
+                'older configuration ignored',
+                version=version,
+                in_force=self.current.version,
+                source=source,
+            )
+
     def _post_version(self, peer: str, version: int) -> None:
         self.task.post(VersionReportedEvent(peer, version))
 
--- a/packages/node/src/kumquathold_node/etcd_store.py
+++ b/packages/node/src/kumquathold_node/etcd_store.py
@@ -8,11 +8,12 @@
 
 import http
 from collections.abc import Sequence
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 import msgspec
 
 from kumquathold_core import etcd
+from kumquathold_core.store_eras import HistorySign
 from kumquathold_node.http_calls import HttpCalls
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.store import (
@@ -24,10 +25,20 @@
     SwapResult,
     Write,
 )
+from kumquathold_node.store_eras import StoreEras
 
 MAX_DETAIL_BYTES = 200
 
-Response = TypeVar('Response')
+
+class HeadedResponse(Protocol):
+    """A response of the store; each has a header."""
+
+    @property
+    def header(self) -> etcd.Header:
+        """The header."""
+
+
+Response = TypeVar('Response', bound=HeadedResponse)
 
 
 class EtcdStore:
@@ -37,6 +48,7 @@
         """Create the adapter without connecting."""
         self.calls = HttpCalls(address)
         self.metrics = metrics
+        self.eras = StoreEras(metrics)
 
     def read(self, key: str) -> ReadResult:
         """Read one key."""
@@ -128,6 +140,7 @@
     ) -> Response:
         self.metrics.count(f'platform.calls{path.replace("/", ".")}')
         body = msgspec.json.encode(request)
+        start = self.eras.start_call()
         try:
             response = self.calls.call('POST', path, body)
         except StoreUnavailable:
@@ -139,9 +152,19 @@
             detail = response.body[:MAX_DETAIL_BYTES]
             raise StoreRefused(f'{path}: status {response.status} {detail!r}')
         try:
-            return msgspec.json.decode(response.body, type=response_type)
+            decoded = msgspec.json.decode(response.body, type=response_type)
         except msgspec.MsgspecError as error:
             raise StoreRefused(f'{path}: {error}') from error
+        self.eras.end_call(start, _read_sign(decoded.header))
+        return decoded
+
+
+def _read_sign(header: etcd.Header) -> HistorySign | None:
+    """Return the sign of the store's history, if the header has one."""
+    if not header.cluster_id:
+        return None
+    term = int(header.raft_term) if header.raft_term.isdecimal() else 0
+    return HistorySign(header.cluster_id, term)
 
 
 def _decode_pair(pair: etcd.KeyValue) -> StoredValue:
--- a/packages/node/src/kumquathold_node/http_calls.py
+++ b/packages/node/src/kumquathold_node/http_calls.py
@@ -32,6 +32,9 @@
     body: bytes
     """The complete body."""
 
+    headers: dict[str, str] = {}
+    """Header fields, by their names in lower case."""
+
 
 class _ProbedConnection(BoundedConnection):
     """A connection that the kernel probes while a call waits."""
@@ -90,7 +93,8 @@
         headers = {} if body is None else {'Content-Type': 'application/json'}
         connection.request(method, target, body, headers)
         response = connection.getresponse()
-        return HttpResponse(response.status, response.read())
+        fields = {name.lower(): text for name, text in response.headers.items()}
+        return HttpResponse(response.status, response.read(), fields)
 
     def _close_connection(self) -> None:
         connection = getattr(self.local, 'connection', None)
--- a/packages/standins/src/kumquathold_standins/fleet.py
+++ b/packages/standins/src/kumquathold_standins/fleet.py
@@ -168,6 +168,10 @@
         body = msgspec.json.encode(platform_standin.Faults(**faults))
         call_http(self.platform_address, 'POST', '/faults', body)
 
+    def post_platform(self, action: str) -> None:
+        """Let the platform `copy` what it holds, or `restore` that copy."""
+        call_http(self.platform_address, 'POST', f'/{action}')
+
     def platform_calls(self) -> dict[str, int]:
         """Fetch the platform's count of calls by path."""
         body = call_http(self.platform_address, 'GET', '/')
--- a/packages/standins/src/kumquathold_standins/platform.py
+++ b/packages/standins/src/kumquathold_standins/platform.py
@@ -2,7 +2,8 @@
 
 Implements the part of etcd's v3 JSON gateway that the fleet uses: range, txn
 and leases. Faults that tests can inject are an outage, delays, applied writes
-without a response and reads of an old revision. Every call is counted.
+without a response, reads of an old revision, and a restore from an older copy.
+Every call is counted.
 """
 
 from __future__ import annotations
@@ -19,6 +20,9 @@
 
 from kumquathold_core import etcd
 
+CLUSTER_ID = '14841639068965178418'
+"""Id of the cluster, which a restore into the same cluster keeps."""
+
 WRITE_PATHS = frozenset(('/v3/kv/txn', '/v3/lease/grant'))
 
 
@@ -58,6 +62,17 @@
     """By the monotonic clock."""
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """A copy of what the store held; entries and leases are not changed."""
+
+    entries: dict[bytes, Entry]
+    revision: int
+    leases: dict[int, float]
+    """The time to live in seconds by the id of the lease."""
+
+    last_lease_id: int
+
+
 class Store:
     """In-memory key-value store; a lock makes every call atomic."""
 
@@ -72,6 +87,34 @@
         self.faults = Faults()
         self.old_entries: dict[bytes, Entry] = {}
         self.old_revision = 0
+        self.raft_term = 9
+        self.kept: StoreCopy | None = None
+
+    def keep_copy(self) -> None:
+        """Keep a copy to restore later."""
+        with self.lock:
+            self._expire_leases()
+            self.kept = StoreCopy(
+                entries=dict(self.entries),
+                revision=self.revision,
+                leases={one: lease.ttl for one, lease in self.leases.items()},
+                last_lease_id=self.last_lease_id,
+            )
+
+    def restore_copy(self) -> None:
+        """Go back to the copy; all of its leases begin anew."""
+        with self.lock:
+            kept = self.kept
+            if kept is None:
+                return
+            now = time.monotonic()
+            self.entries = dict(kept.entries)
+            self.revision = kept.revision
+            self.last_lease_id = kept.last_lease_id
+            self.leases = {
+                one: Lease(ttl, now + ttl) for one, ttl in kept.leases.items()
+            }
+            self.raft_term -= 1
 
     def set_faults(self, faults: Faults) -> None:
         """Replace the faults.
@@ -150,7 +193,14 @@
             return etcd.LeaseResponse(header=self._header(), id=request.id)
 
     def _header(self) -> etcd.Header:
-        return etcd.Header(revision=str(self.revision))
+        return self._header_at(self.revision)
+
+    def _header_at(self, revision: int) -> etcd.Header:
+        return etcd.Header(
+            revision=str(revision),
+            cluster_id=CLUSTER_ID,
+            raft_term=str(self.raft_term),
+        )
 
     def _range(self, request: etcd.RangeRequest) -> etcd.RangeResponse:
         reads_old_state = self.faults.older
@@ -164,7 +214,7 @@
             keys = [start] if start in entries else []
         limit = int(request.limit) or len(keys)
         return etcd.RangeResponse(
-            header=etcd.Header(revision=str(revision)),
+            header=self._header_at(revision),
             kvs=[
                 _make_key_value(key, entries[key], request.keys_only)
                 for key in keys[:limit]
@@ -260,9 +310,14 @@
         body = self.rfile.read(int(self.headers.get('Content-Length', 0)))
         if self.path == '/faults':
             self.store.set_faults(msgspec.json.decode(body, type=Faults))
-            self._reply(200, b'{}')
+        elif self.path == '/copy':
+            self.store.keep_copy()
+        elif self.path == '/restore':
+            self.store.restore_copy()
+        else:
+            self._serve(body)
             return
-        self._serve(body)
+        self._reply(200, b'{}')
 
     def log_message(self, *_: object) -> None:
         """Write no access log."""
--- a/tests/site_store.py
+++ b/tests/site_store.py
@@ -1,12 +1,14 @@
 """In-memory stand-in of the users' key-value store, for tests of the adapter.
 
 Serves the calls that the adapter makes. Faults to inject: responses lost after
-the call took effect, error statuses, and compacted history.
+the call took effect, error statuses, compacted history, and a restore from an
+older copy.
 """
 
 from __future__ import annotations
 
 import base64
+import copy
 import json
 import threading
 from collections.abc import Iterator
@@ -28,6 +30,18 @@
         self.body = body
 
 
+class StoreCopy:
+    """A copy of what the store held."""
+
+    __slots__ = ('events', 'items', 'leases', 'revision')
+
+    def __init__(self, store: SiteStore) -> None:
+        self.items = copy.deepcopy(store.items)
+        self.events = list(store.events)
+        self.revision = store.revision
+        self.leases = dict(store.leases)
+
+
 class SiteStore:
     """Items, events and leases of the store, and the faults to inject."""
 
@@ -42,6 +56,7 @@
         self.responses_to_lose = 0
         self.refuse_status = 0
         self.page_size = 500
+        self.era = 1
 
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
         """Write an item, as an operator does."""
@@ -57,6 +72,20 @@
             self.events.clear()
             self.lock.notify_all()
 
+    def make_copy(self) -> StoreCopy:
+        """Copy the items, their history and the leases."""
+        with self.lock:
+            return StoreCopy(self)
+
+    def restore(self, kept: StoreCopy) -> None:
+        """Go back to a copy; watches that wait are not cut."""
+        with self.lock:
+            self.items = copy.deepcopy(kept.items)
+            self.events = list(kept.events)
+            self.revision = kept.revision
+            self.leases = dict(kept.leases)
+            self.era += 1
+
     def end_lease(self, lease: int) -> None:
         """End a lease, and delete its items."""
         with self.lock:
@@ -133,11 +162,14 @@
                 if event['revision'] > after and event['key'].startswith(prefix)
             ]
 
+        def is_gone() -> bool:
+            return not self.compacted_revision <= after <= self.revision
+
         self.lock.wait_for(
-            lambda: bool(find_events()) or after < self.compacted_revision,
+            lambda: bool(find_events()) or is_gone(),
             int(call.query['waitMs']) / 1000,
         )
-        if after < self.compacted_revision:
+        if is_gone():
             return 410, {'error': 'history gone'}
         return 200, {'events': find_events(), 'atRev': self.revision}
 
@@ -198,6 +230,7 @@
             encoded = json.dumps(content).encode()
             self.send_response(status)
             self.send_header('Content-Length', str(len(encoded)))
+            self.send_header('Store-Era', str(store.era))
             self.end_headers()
             self.wfile.write(encoded)
 
