--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -32,7 +32,9 @@
 class LossyStore(PlatformStore):
     """Store that loses the reply to a switch, and refuses what follows."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, case: unittest.TestCase) -> None:
+        self.site = SiteStore()
+        address = case.enterContext(serving_store(self.site))
         super().__init__(address, Metrics(None))
         self.applies_lost_switch = True
         self.loses_reply = True
@@ -50,6 +52,8 @@
 
     def swap(self, writes: Sequence[Write]) -> SwapResult:
         is_switch = writes[0].key == store_keys.MANIFEST_KEY
+        if is_switch:
+            self.before_switch()
         if is_switch and self.is_refusing:
             raise StoreRefused('status 403')
         if not is_switch or not self.loses_reply:
@@ -59,24 +63,34 @@
             super().swap(writes)
         raise StoreUnavailable('no reply')
 
+    def before_switch(self) -> None:
+        """Do nothing; subclasses change the store."""
+
     def read(self, key: str) -> ReadResult:
         if self.is_refusing and self.refuses_reads:
             raise StoreRefused('status 403')
         return super().read(key)
 
 
+def make_acceptance_kernel(store: LossyStore) -> Kernel:
+    """Return a kernel that accepts configurations, and nothing else."""
+    kernel = Kernel()
+    service: Any = SimpleNamespace(
+        task=SimpleNamespace(post=bool),
+        notify_all_peers=bool,
+        current=SimpleNamespace(version=0),
+    )
+    kernel.register('store', store)
+    kernel.register('configuration', service)
+    return kernel
+
+
 class LostReplyTest(unittest.TestCase):
     """A refused retry says nothing about the attempt before it."""
 
     def setUp(self) -> None:
-        address = self.enterContext(serving_store(SiteStore()))
-        self.store = LossyStore(address)
-        self.kernel = Kernel()
-        service: Any = SimpleNamespace(
-            task=SimpleNamespace(post=bool), notify_all_peers=bool
-        )
-        self.kernel.register('store', self.store)
-        self.kernel.register('configuration', service)
+        self.store = LossyStore(self)
+        self.kernel = make_acceptance_kernel(self.store)
         self.enterContext(
             mock.patch.object(
                 acceptance, 'SWITCH_TIMEOUT_SECONDS', SWITCH_TIMEOUT_SECONDS
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -55,7 +55,7 @@
         self.assertLess(idle + interval * probes, CONTACT_SECONDS)
 
 
-class SilentStoreTest(unittest.TestCase):
+class WatchStage(unittest.TestCase):
     """The store behind a relay that can silence open connections."""
 
     def setUp(self) -> None:
@@ -87,6 +87,10 @@
         """Record a version that was found, as the task that adopts it."""
         self.versions.append(event.configuration.version)
 
+
+class SilentStoreTest(WatchStage):
+    """A connection to the store that goes silent."""
+
     def test_change_is_found_though_the_watch_has_gone_silent(self) -> None:
         wait_until(lambda: 'watch' in self.store.calls, 'watch')
         self.link.silence()
