Give revisions and leases the era of the store that they belong to

What callers saw: a change of the configuration that had been confirmed was not in force, since the watch went on from a revision of a history that was gone; requests that must run once were refused for up to an hour, since the lease of claims was gone; two nodes held one rate group, since one renewed a lease whose id was another's by then. Cause: code that takes the store's history as one that only grows. Revisions were numbers, so those of two histories could be compared, swapped against and watched from. Change: Revision has an era and a number and is ordered by both; leases have an era. An adapter refuses those of an earlier era without a call (EarlierEra), ends a call that a restore overtakes with StoreRestored, and offers the era to its users. One step each: the watch reads the key again; the election acquires its groups anew; claims get a new lease, also if the store says that it has none (LeaseEnded); a node adds itself to the seeds again; the default reader takes reads of a later era for later. Tests of other modules only have revisions and leases in place of numbers.

--- a/packages/node/src/kumquathold_node/acceptance.py
+++ b/packages/node/src/kumquathold_node/acceptance.py
@@ -26,7 +26,9 @@
 )
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.store import (
+    ABSENT,
     KeyValueStore,
+    Revision,
     StoredValue,
     StoreError,
     StoreUnavailable,
@@ -143,8 +145,8 @@
     return reading.found[0] if reading.found else None
 
 
-def _check_base(store: KeyValueStore, base: int) -> int:
-    """Return the revision to swap against, 0 for a key that is missing.
+def _check_base(store: KeyValueStore, base: int) -> Revision:
+    """Return the revision to swap against, `ABSENT` for a missing key.
 
     Raises `Conflict` if the version in force is not `base`.
     """
@@ -153,7 +155,7 @@
     version = manifest.version if manifest else 0
     if version != base:
         raise Conflict(base, manifest)
-    return stored.mod_revision if stored else 0
+    return stored.mod_revision if stored else ABSENT
 
 
 def _write_chunks(
@@ -165,7 +167,7 @@
 
 
 def _switch_manifest(
-    store: KeyValueStore, manifest: Manifest, revision: int
+    store: KeyValueStore, manifest: Manifest, revision: Revision
 ) -> None:
     """Swap the manifest; raise unless this acceptance took effect.
 
@@ -202,7 +204,7 @@
 def _try_switch(
     store: KeyValueStore,
     manifest: Manifest,
-    revision: int,
+    revision: Revision,
 ) -> bool:
     """Swap the manifest once; return whether this acceptance took effect.
 
@@ -213,7 +215,7 @@
     swap = store.swap(
         [
             Write(store_keys.MANIFEST_KEY, value, expected_revision=revision),
-            Write(history_key, value, expected_revision=0),
+            Write(history_key, value, expected_revision=ABSENT),
         ]
     )
     if swap.succeeded:
--- a/packages/node/src/kumquathold_node/claims_service.py
+++ b/packages/node/src/kumquathold_node/claims_service.py
@@ -24,7 +24,11 @@
 from kumquathold_node.owner_requests import OwnerRequest
 from kumquathold_node.settings import Settings
 from kumquathold_node.store import (
+    ABSENT,
     KeyValueStore,
+    Lease,
+    LeaseEnded,
+    Revision,
     StoredValue,
     StoreError,
     SwapResult,
@@ -105,8 +109,8 @@
     claim: Claim
     """The claim to write; with `is_delete`, the claim to delete."""
 
-    expected_revision: int
-    """Revision that the key must have; 0 if it must be absent."""
+    expected_revision: Revision
+    """Revision that the key must have, or `ABSENT`."""
 
     result: UpstreamResponse | CallFailed | None = None
     """The response or failure of the call; `None` for a new claim."""
@@ -141,11 +145,11 @@
         self.metrics: Metrics = kernel.find('metrics')
         self.address = settings.peer
         self.incarnation: int = kernel.find('transport').incarnation
-        self.held_claims: dict[str, tuple[Claim, int]] = {}
+        self.held_claims: dict[str, tuple[Claim, Revision]] = {}
         self.deferred: list[PendingWrite] = []
         self.abandoned_claims: list[AbandonedClaim] = []
         self.suspended_until = 0.0
-        self.lease = 0
+        self.lease: Lease | None = None
         self.lease_renewal_at = 0.0
         self.task = Task(
             'claims',
@@ -174,7 +178,7 @@
             upstream=request.message.upstream,
             claimed_at=datetime.datetime.now(datetime.UTC).isoformat(),
         )
-        self.task.post(PendingWrite(request, _key_of(request), claim, 0))
+        self.task.post(PendingWrite(request, _key_of(request), claim, ABSENT))
 
     def store_outcome(
         self,
@@ -258,6 +262,10 @@
         """Write a group in one transaction; return the writes to retry."""
         try:
             swap = self._swap(group)
+        except LeaseEnded:
+            self.metrics.count('claims.lease_ended')
+            self.lease = None
+            return group
         except StoreError as error:
             logger.warning('claims not written', cause=str(error))
             self.metrics.count('claims.store_unavailable')
@@ -288,13 +296,15 @@
             ]
         )
 
-    def _get_shared_lease(self) -> int:
+    def _get_shared_lease(self) -> Lease:
         now = monotonic()
-        if now >= self.lease_renewal_at:
-            granted = self.store.grant_lease(CLAIM_RETENTION_SECONDS)
-            self.lease = granted.id
+        lease = self.lease
+        is_kept = lease is not None and lease.era == self.store.era
+        if lease is None or not is_kept or now >= self.lease_renewal_at:
+            lease = self.store.grant_lease(CLAIM_RETENTION_SECONDS)
+            self.lease = lease
             self.lease_renewal_at = now + LEASE_REUSE_SECONDS
-        return self.lease
+        return lease
 
     def _read_back(self, group: list[PendingWrite]) -> list[PendingWrite]:
         try:
@@ -312,11 +322,11 @@
         self,
         group: list[PendingWrite],
         found: tuple[StoredValue, ...],
-        revision: int,
+        revision: Revision,
     ) -> list[PendingWrite]:
         """Compare writes with the stored claims; return those to retry.
 
-        `revision` is the store's when they were read, 0 if not reported. What
+        `revision` is the store's when they were read, if reported. What
         was read from before the claim says nothing of it.
         """
         by_key = {stored.key: stored for stored in found}
@@ -324,16 +334,16 @@
         for pending in group:
             stored = by_key.get(pending.key)
             if _is_applied(pending, stored):
-                self._complete(pending, stored.mod_revision if stored else 0)
-            elif _is_unchanged(pending, stored) or (
-                0 < revision < pending.expected_revision
-            ):
+                self._complete(
+                    pending, stored.mod_revision if stored else ABSENT
+                )
+            elif _is_unchanged(pending, stored) or _is_older(revision, pending):
                 retries.append(pending)
             else:
                 self._handle_conflict(pending, stored)
         return retries
 
-    def _complete(self, pending: PendingWrite, revision: int) -> None:
+    def _complete(self, pending: PendingWrite, revision: Revision) -> None:
         if pending.result is not None:
             self._notify_owner(
                 pending, OutcomeStoredEvent(pending.request, pending.result)
@@ -478,5 +488,10 @@
 
 
 def _is_unchanged(pending: PendingWrite, stored: StoredValue | None) -> bool:
-    revision = stored.mod_revision if stored else 0
+    revision = stored.mod_revision if stored else ABSENT
     return revision == pending.expected_revision
+
+
+def _is_older(revision: Revision, pending: PendingWrite) -> bool:
+    """Whether a reported revision is from before the claim."""
+    return revision.number > 0 and revision < pending.expected_revision
--- a/packages/node/src/kumquathold_node/configuration.py
+++ b/packages/node/src/kumquathold_node/configuration.py
@@ -27,7 +27,12 @@
 from kumquathold_node.membership_messages import PingCommand
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.settings import Settings
-from kumquathold_node.store import KeyValueStore, StoredValue, StoreError
+from kumquathold_node.store import (
+    ABSENT,
+    KeyValueStore,
+    StoredValue,
+    StoreError,
+)
 from kumquathold_node.transport import Transport
 
 if TYPE_CHECKING:
@@ -305,7 +310,7 @@
         self.own = settings.peer
         self.last_poll_at = -POLL_SECONDS
         self.last_ping_at = -POLL_SECONDS
-        self.revision = 0
+        self.revision = ABSENT
         self.task = Task(
             'configuration-reader',
             {},
--- a/packages/node/src/kumquathold_node/configuration_watch.py
+++ b/packages/node/src/kumquathold_node/configuration_watch.py
@@ -1,8 +1,9 @@
 """Watches a configuration that operators write to the store directly.
 
 One thread holds a watch on the configuration's key. A change arrives with its
-text, so each new configuration costs one call per node. If the watch fails or
-its revision has been compacted, the key is read again.
+text, so each new configuration costs one call per node. The key is read again
+if the watch fails, or its revision has been compacted or is from before a
+restore.
 """
 
 from __future__ import annotations
@@ -25,9 +26,12 @@
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.store import (
+    EarlierEra,
     HistoryCompacted,
+    Revision,
     StoredValue,
     StoreError,
+    StoreRestored,
     WatchableStore,
 )
 
@@ -94,7 +98,7 @@
                 pause = MIN_BACKOFF_SECONDS
                 while True:
                     revision = self._watch_key(revision)
-            except HistoryCompacted:
+            except (HistoryCompacted, StoreRestored, EarlierEra):
                 self.metrics.count('configuration.history_gone')
                 sleep(MIN_BACKOFF_SECONDS)
             except StoreError as error:
@@ -102,7 +106,7 @@
                 sleep(pause)
                 pause = min(pause * 2, MAX_BACKOFF_SECONDS)
 
-    def _read_key(self) -> int:
+    def _read_key(self) -> Revision:
         self.requested_at = monotonic()
         reading = self.store.read_prefix(self.key)
         self._record_store_success()
@@ -111,9 +115,11 @@
                 self._process_value(stored)
         return reading.revision
 
-    def _watch_key(self, after: int) -> int:
+    def _watch_key(self, after: Revision) -> Revision:
         self.requested_at = monotonic()
         batch = self.store.watch(self.key, after, WATCH_SECONDS)
+        if 0 < batch.revision.number < after.number:
+            raise HistoryCompacted(f'{batch.revision} follows {after}')
         for change in batch.changes:
             if change.stored is not None and change.key == self.key:
                 self._process_value(change.stored)
@@ -127,7 +133,7 @@
             self.metrics.count('configuration.unreadable')
             logger.warning(
                 'configuration unreadable',
-                revision=stored.mod_revision,
+                revision=stored.mod_revision.number,
                 cause=str(error),
             )
             return
--- a/packages/node/src/kumquathold_node/rate_election.py
+++ b/packages/node/src/kumquathold_node/rate_election.py
@@ -28,6 +28,7 @@
 from kumquathold_node.rate_holder import HoldGroupsCommand, RateHolder
 from kumquathold_node.settings import Settings
 from kumquathold_node.store import (
+    ABSENT,
     KeyValueStore,
     Lease,
     StoredValue,
@@ -143,7 +144,7 @@
         if self.lease is None:
             return
         try:
-            self.store.revoke_lease(self.lease.id)
+            self.store.revoke_lease(self.lease)
         except StoreError as error:
             logger.warning('rate lease not released', cause=str(error))
 
@@ -155,9 +156,10 @@
             self.settings.rate_term / KEEP_ALIVES_PER_TERM,
             MAX_KEEP_ALIVE_INTERVAL_SECONDS,
         )
-        if now - self.kept_alive_at < interval:
+        is_kept = self.lease.era == self.store.era
+        if is_kept and now - self.kept_alive_at < interval:
             return
-        kept = self.store.keep_alive(self.lease.id)
+        kept = self.store.keep_alive(self.lease)
         if kept.seconds <= 0:
             self._reacquire_groups()
             return
@@ -171,13 +173,14 @@
         membership reports alive, so its buckets remain valid. If it may have
         been reported dead, a successor may have granted meanwhile.
         """
+        stored = self._read_records()
         groups = self.ready_at
         may_have_successor = self._may_have_successor()
         self.metrics.count('rates.lease_lost')
         logger.warning('rate lease ended', groups=sorted(groups))
         self.lease = None
         self.ready_at = {}
-        for group in self._acquire(sorted(groups), self._read_records()):
+        for group in self._acquire(sorted(groups), stored):
             ready_at = groups[group]
             if may_have_successor:
                 ready_at = _find_start(read_boot_clock())
@@ -361,8 +364,8 @@
         return Write(
             key=self._record_key(group),
             value=msgspec.json.encode(record),
-            expected_revision=found.mod_revision if found else 0,
-            lease=self._get_lease().id,
+            expected_revision=found.mod_revision if found else ABSENT,
+            lease=self._get_lease(),
         )
 
     def _get_lease(self) -> Lease:
--- a/packages/node/src/kumquathold_node/seeds.py
+++ b/packages/node/src/kumquathold_node/seeds.py
@@ -17,7 +17,13 @@
 from kumquathold_node.membership import Membership
 from kumquathold_node.membership_messages import JoinCommand
 from kumquathold_node.settings import Settings, is_address
-from kumquathold_node.store import KeyValueStore, StoredValue, StoreError, Write
+from kumquathold_node.store import (
+    ABSENT,
+    KeyValueStore,
+    StoredValue,
+    StoreError,
+    Write,
+)
 
 MAX_SEEDS = 8
 """Most addresses in the seed record."""
@@ -48,6 +54,7 @@
         self.membership: Membership = kernel.find('membership')
         self.settings = settings
         self.is_listed = False
+        self.era = self.store.era
         self.rng = random.Random(settings.peer)
         self.task = Task(
             'seeds',
@@ -60,8 +67,12 @@
     def check(self) -> None:
         """Read the record if this node is alone or should add itself.
 
-        Otherwise read it in a small share of checks only.
+        Otherwise read it in a small share of checks only. A restored store may
+        have lost what this node added.
         """
+        if self.store.era != self.era:
+            self.era = self.store.era
+            self.is_listed = False
         is_alone = len(self.membership.view.nodes) == 1
         is_due = is_alone or self._is_missing()
         if not is_due and self.rng.random() > ROUTINE_READ_SHARE:
@@ -120,7 +131,7 @@
         write = Write(
             store_keys.SEEDS_KEY,
             msgspec.json.encode(SeedRecord(addresses)),
-            stored.mod_revision if stored else 0,
+            stored.mod_revision if stored else ABSENT,
         )
         swap = self.store.swap([write])
         self.is_listed = swap.succeeded
--- a/packages/node/src/kumquathold_node/store.py
+++ b/packages/node/src/kumquathold_node/store.py
@@ -3,6 +3,13 @@
 Each deployment has an adapter that implements `KeyValueStore` by the protocol
 of its platform. A call that raises `StoreUnavailable` may or may not have taken
 effect; a caller that writes must read the keys back to find out which.
+
+The store may be restored from an older copy, which begins another era:
+revisions go back and are given out again, and what was acknowledged since the
+copy is gone. Revisions and leases therefore belong to an era, and adapters
+refuse those of an earlier one. A user of the store that relies on something it
+wrote compares `era` with the one it last saw, and reads or writes anew after a
+change.
 """
 
 from __future__ import annotations
@@ -25,6 +32,32 @@
     """The store responded with an error."""
 
 
+class StoreRestored(StoreUnavailable):
+    """The store was restored during the call."""
+
+
+class EarlierEra(StoreRefused):
+    """A revision or lease is from before a restore; nothing was sent."""
+
+
+class LeaseEnded(StoreRefused):
+    """A key was to be bound to a lease that has ended; nothing was written."""
+
+
+class Revision(msgspec.Struct, frozen=True, order=True):
+    """A point in the history of the store; a later era is later."""
+
+    era: int
+    """Number of restores that this process had noticed before."""
+
+    number: int
+    """The store's own number; 0 for a key that is absent, or if not known."""
+
+
+ABSENT = Revision(0, 0)
+"""Expected revision of a key that must not exist, in any era."""
+
+
 class StoredValue(msgspec.Struct, frozen=True):
     """A key with its value and revisions."""
 
@@ -34,23 +67,33 @@
     value: bytes
     """The value, as raw bytes."""
 
-    mod_revision: int
+    mod_revision: Revision
     """Revision of the last change, to compare with in a swap."""
 
-    create_revision: int
-    """Revision in which the key was created."""
-
 
 class ReadResult(msgspec.Struct, frozen=True):
     """The result of a read."""
 
-    revision: int
-    """Revision of the store at the time of the read; 0 if not reported."""
+    revision: Revision
+    """Revision of the store at the time of the read, if reported."""
 
     found: tuple[StoredValue, ...]
     """The keys found, in order."""
 
 
+class Lease(msgspec.Struct, frozen=True):
+    """A lease granted by the store."""
+
+    id: int
+    """Id of the lease in the store."""
+
+    seconds: float
+    """Time to live from the last keep-alive; 0 once it has expired."""
+
+    era: int = 0
+    """Era in which it was granted."""
+
+
 class Write(msgspec.Struct, frozen=True):
     """A conditional write of one key, as part of a transaction."""
 
@@ -60,11 +103,11 @@
     value: bytes | None
     """The value to store; `None` deletes the key."""
 
-    expected_revision: int | None
-    """Revision that the key must have; 0 if absent, `None` for any."""
+    expected_revision: Revision | None
+    """Revision that the key must have, or `ABSENT`; `None` for any."""
 
-    lease: int = 0
-    """Lease with which the key expires; 0 for none."""
+    lease: Lease | None = None
+    """Lease with which the key expires."""
 
 
 class SwapResult(msgspec.Struct, frozen=True):
@@ -73,23 +116,13 @@
     succeeded: bool
     """Whether all conditions held, so that all keys were written."""
 
-    revision: int
+    revision: Revision
     """Revision of the store after the transaction, or of what was found."""
 
     found: tuple[StoredValue, ...]
     """If a condition failed, the keys that exist; otherwise empty."""
 
 
-class Lease(msgspec.Struct, frozen=True):
-    """A lease granted by the store."""
-
-    id: int
-    """Id of the lease in the store."""
-
-    seconds: float
-    """Time to live from the last keep-alive."""
-
-
 class HistoryCompacted(StoreError):
     """The changes since the given revision have been compacted."""
 
@@ -100,7 +133,7 @@
     key: str
     """The key."""
 
-    revision: int
+    revision: Revision
     """Revision of the change."""
 
     stored: StoredValue | None
@@ -110,7 +143,7 @@
 class ChangeBatch(msgspec.Struct, frozen=True):
     """The result of a watch."""
 
-    revision: int
+    revision: Revision
     """Revision up to which all changes have been reported."""
 
     changes: tuple[KeyChange, ...]
@@ -121,8 +154,13 @@
     """Interface of a store adapter.
 
     Methods may be called from any thread, and raise `StoreError` on failure.
+    Any of them raises `StoreRestored` if the store was restored meanwhile.
     """
 
+    @property
+    def era(self) -> int:
+        """Number of restores of the store that were noticed so far."""
+
     def read(self, key: str) -> ReadResult:
         """Read one key."""
 
@@ -140,23 +178,43 @@
         """
 
     def swap(self, writes: Sequence[Write]) -> SwapResult:
-        """Write several keys in one transaction if all conditions hold."""
+        """Write several keys in one transaction if all conditions hold.
+
+        Raises `EarlierEra` if a revision or a lease is from before a restore,
+        and `LeaseEnded` if the store does not have a lease.
+        """
 
     def grant_lease(self, seconds: float) -> Lease:
         """Create a lease with this time to live."""
 
-    def keep_alive(self, lease: int) -> Lease:
-        """Renew a lease; the result has 0 seconds if it has expired."""
+    def keep_alive(self, lease: Lease) -> Lease:
+        """Renew a lease; the result has 0 seconds if it has expired.
+
+        So does one from before a restore: its id may be another node's now.
+        """
 
-    def revoke_lease(self, lease: int) -> None:
-        """Revoke a lease and delete its keys."""
+    def revoke_lease(self, lease: Lease) -> None:
+        """Revoke a lease and delete its keys, unless it has expired."""
 
 
 class WatchableStore(KeyValueStore, Protocol):
     """A store whose changes can also be watched."""
 
-    def watch(self, prefix: str, after: int, seconds: float) -> ChangeBatch:
+    def watch(
+        self, prefix: str, after: Revision, seconds: float
+    ) -> ChangeBatch:
         """Wait up to `seconds` for changes after the revision `after`.
 
-        Raises `HistoryCompacted` if changes after it are no longer available.
+        Raises `HistoryCompacted` if changes after it are no longer available,
+        and `EarlierEra` if it is from before a restore.
         """
+
+
+def check_era(writes: Sequence[Write], era: int) -> None:
+    """Raise `EarlierEra` if a condition or lease is not of the present era."""
+    for write in writes:
+        expected = write.expected_revision
+        if expected and expected.number and expected.era != era:
+            raise EarlierEra(f'{write.key}: {expected}, the era is {era}')
+        if write.lease and write.lease.era != era:
+            raise EarlierEra(f'{write.key}: {write.lease}, the era is {era}')
--- a/packages/node/src/kumquathold_node/store_eras.py
+++ b/packages/node/src/kumquathold_node/store_eras.py
@@ -8,6 +8,7 @@
 
 from kumquathold_core.store_eras import CallStart, EraTracker, HistorySign
 from kumquathold_node.metrics import Metrics
+from kumquathold_node.store import StoreRestored
 
 
 class StoreEras:
@@ -19,19 +20,28 @@
         self.tracker = EraTracker()
         self.lock = threading.Lock()
 
+    @property
+    def era(self) -> int:
+        """Number of restores that were noticed so far."""
+        return self.tracker.era
+
     def start_call(self) -> CallStart:
         """Return what is known before a call is sent."""
         with self.lock:
             return self.tracker.start_call()
 
     def end_call(self, start: CallStart, seen: HistorySign | None) -> None:
-        """Take the sign of a response; log the first one after a restore."""
+        """Take the sign of a response, `None` if it has none.
+
+        Raises `StoreRestored` unless the era is that in which the call began.
+        """
         with self.lock:
-            self.tracker.end_call(start, seen)
-            has_noticed = self.tracker.era > start.era
-            is_first = has_noticed and self.tracker.sign is seen
-        if is_first:
+            is_current = self.tracker.end_call(start, seen)
+            begins_era = not is_current and self.tracker.sign is seen
+        if begins_era:
             self._report_restore(start, seen)
+        if not is_current:
+            raise StoreRestored(f'before: {start.sign}, now: {seen}')
 
     def _report_restore(
         self, start: CallStart, seen: HistorySign | None
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from kumquathold_core import store_keys
+from kumquathold_core.store_eras import CallStart
 from kumquathold_node import acceptance
 from kumquathold_node.http_calls import HttpResponse
 from kumquathold_node.kernel import Kernel
@@ -43,12 +44,13 @@
 
     def _call(
         self,
+        start: CallStart,
         method: str,
         target: str,
         content: object = None,
         timeout: float = CALL_TIMEOUT_SECONDS,
     ) -> HttpResponse:
-        return super()._call(method, target, content, timeout)
+        return super()._call(start, method, target, content, timeout)
 
     def swap(self, writes: Sequence[Write]) -> SwapResult:
         is_switch = writes[0].key == store_keys.MANIFEST_KEY
@@ -78,7 +80,7 @@
     service: Any = SimpleNamespace(
         task=SimpleNamespace(post=bool),
         notify_all_peers=bool,
-        current=SimpleNamespace(version=0),
+        current=SimpleNamespace(version=0, digest=''),
     )
     kernel.register('store', store)
     kernel.register('configuration', service)
--- a/tests/test_claims_store.py
+++ b/tests/test_claims_store.py
@@ -21,8 +21,10 @@
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.owner_requests import OwnerRequest
 from kumquathold_node.store import (
+    ABSENT,
     Lease,
     ReadResult,
+    Revision,
     StoredValue,
     StoreUnavailable,
     SwapResult,
@@ -39,11 +41,17 @@
     """A store whose reads come from before the claim while `is_old`."""
 
     def __init__(self) -> None:
+        self.era = 0
         self.is_old = False
         self.is_lossy = False
         self.revision = FIRST_REVISION
         self.entries: dict[str, StoredValue] = {}
 
+    @property
+    def at(self) -> Revision:
+        """The present revision."""
+        return Revision(self.era, self.revision)
+
     def grant_lease(self, seconds: float) -> Lease:
         """Grant a lease."""
         return Lease(1, seconds)
@@ -51,9 +59,9 @@
     def read(self, key: str) -> ReadResult:
         """Read a key."""
         if self.is_old:
-            return ReadResult(OLD_REVISION, ())
+            return ReadResult(Revision(0, OLD_REVISION), ())
         found = self.entries.get(key)
-        return ReadResult(self.revision, (found,) if found else ())
+        return ReadResult(self.at, (found,) if found else ())
 
     def swap(self, writes: Sequence[Write]) -> SwapResult:
         """Write keys on their conditions; while lossy, only fail."""
@@ -62,17 +70,19 @@
         self.revision += 1
         for write in writes:
             known = self.entries.get(write.key)
-            if write.expected_revision != (known.mod_revision if known else 0):
+            if write.expected_revision != (
+                known.mod_revision if known else ABSENT
+            ):
                 return SwapResult(
                     succeeded=False,
-                    revision=self.revision,
+                    revision=self.at,
                     found=(known,) if known else (),
                 )
             assert write.value is not None
             self.entries[write.key] = StoredValue(
-                write.key, write.value, self.revision, self.revision
+                write.key, write.value, self.at
             )
-        return SwapResult(succeeded=True, revision=self.revision, found=())
+        return SwapResult(succeeded=True, revision=self.at, found=())
 
     def state(self) -> ClaimState:
         """Return the state of the only claim."""
@@ -132,7 +142,7 @@
             request = OwnerRequest(message, '10.0.0.9:1', queued_at=0.0)
             service.request_claim(request)
         odd = service.task.inbox.get_nowait()
-        store.entries[odd.key] = StoredValue(odd.key, b'[7]', 1, 1)
+        store.entries[odd.key] = StoredValue(odd.key, b'[7]', Revision(0, 1))
         service.on_pending_write(odd)
         refused, granted = (call.args[0] for call in owner.task.post.mock_calls)
         self.assertEqual(refused.reason, Refusal.outcome_unknown)
--- a/tests/test_odd_content.py
+++ b/tests/test_odd_content.py
@@ -22,7 +22,7 @@
 from kumquathold_node.configuration_watch import UnreadableConfiguration
 from kumquathold_node.http_calls import HttpResponse
 from kumquathold_node.metrics import Metrics
-from kumquathold_node.store import StoreError
+from kumquathold_node.store import Lease, Revision, StoreError
 from tests.site_announcements import AnnouncementsCase
 from tests.support import make_node_record
 from tests.test_site_platform import PlatformStore, configuration, make_config
@@ -188,7 +188,7 @@
         lease = {'leaseId': 7, 'ttlMs': 6000}
         self.check({**item, 'atRev': 5}, lambda: self.client.read('a'))
         self.check(page, lambda: self.client.read_prefix('a', limit=1))
-        self.check(changes, lambda: self.client.watch('a', 4, 1.0))
+        self.check(changes, lambda: self.client.watch('a', Revision(0, 4), 1.0))
         self.check({'revision': 5}, lambda: self.client.swap(()))
         self.check(lease, lambda: self.client.grant_lease(6))
-        self.check({'ttlMs': 6000}, lambda: self.client.keep_alive(7))
+        self.check({'ttlMs': 6000}, lambda: self.client.keep_alive(Lease(7, 6)))
--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -9,7 +9,7 @@
 from kumquathold_node import caller_requests, seeds
 from kumquathold_node.connection_pool import ConnectionPool
 from kumquathold_node.dialect import CallerDialect
-from kumquathold_node.store import StoredValue
+from kumquathold_node.store import Revision, StoredValue
 from kumquathold_node.upstream_responses import UpstreamConnection
 
 DIGITS = '9' * 400
@@ -47,7 +47,7 @@
 
     def decode(self, text: str) -> tuple[str, ...]:
         """Return the addresses of a record with this text."""
-        stored = StoredValue('seeds', text.encode(), 1, 1)
+        stored = StoredValue('seeds', text.encode(), Revision(0, 1))
         return seeds.decode_addresses(stored)
 
     def test_record_that_cannot_be_read_lists_nobody(self) -> None:
--- a/tests/test_rate_election.py
+++ b/tests/test_rate_election.py
@@ -14,8 +14,10 @@
 from kumquathold_node.process_clock import read_boot_clock
 from kumquathold_node.rate_election import RateElection
 from kumquathold_node.store import (
+    ABSENT,
     Lease,
     ReadResult,
+    Revision,
     StoredValue,
     StoreUnavailable,
     SwapResult,
@@ -33,49 +35,52 @@
 
     def __init__(self) -> None:
         self.stored: dict[str, StoredValue] = {}
+        self.era = 0
         self.revision = 1
         self.drops_next_reply = False
         self.is_unreachable = False
         self.remaining_seconds = LEASE_SECONDS
 
+    @property
+    def at(self) -> Revision:
+        """The present revision."""
+        return Revision(self.era, self.revision)
+
     def grant_lease(self, seconds: float) -> Lease:
         """Grant a lease."""
         return Lease(id=7, seconds=seconds)
 
-    def keep_alive(self, lease: int) -> Lease:
+    def keep_alive(self, lease: Lease) -> Lease:
         """Renew the lease for the remaining time that the test sets."""
         if self.is_unreachable:
             raise StoreUnavailable('unreachable')
-        return Lease(id=lease, seconds=self.remaining_seconds)
+        return Lease(id=lease.id, seconds=self.remaining_seconds)
 
     def read_prefix(self, prefix: str) -> ReadResult:
         """Return the values whose keys sort at or after the prefix."""
         found = [value for key, value in self.stored.items() if key >= prefix]
-        return ReadResult(self.revision, tuple(found))
+        return ReadResult(self.at, tuple(found))
 
     def swap(self, writes: list[Write]) -> SwapResult:
         """Apply all writes or none; raise if the reply is to be dropped."""
         for write in writes:
             current = self.stored.get(write.key)
             if (
-                current.mod_revision if current else 0
+                current.mod_revision if current else ABSENT
             ) != write.expected_revision:
-                return SwapResult(
-                    succeeded=False, revision=self.revision, found=()
-                )
+                return SwapResult(succeeded=False, revision=self.at, found=())
         self.revision += 1
         for write in writes:
             value = write.value or b''
             self.stored[write.key] = StoredValue(
                 write.key,
                 value,
-                self.revision,
-                self.revision,
+                self.at,
             )
         if self.drops_next_reply:
             self.drops_next_reply = False
             raise StoreUnavailable('reply lost')
-        return SwapResult(succeeded=True, revision=self.revision, found=())
+        return SwapResult(succeeded=True, revision=self.at, found=())
 
 
 class FakeHolderTask:
@@ -218,7 +223,9 @@
 
     def test_record_of_another_writer_costs_its_own_group_only(self) -> None:
         key = store_keys.rate_key('north', 0)
-        self.store.stored[key] = StoredValue(key, b'{"address": 7}', 1, 1)
+        self.store.stored[key] = StoredValue(
+            key, b'{"address": 7}', Revision(0, 1)
+        )
         self.make_election(incarnation=5).check()
         self.assertEqual(set(self.holder.ready_at), set(range(1, GROUPS)))
 
--- a/tests/test_site_platform.py
+++ b/tests/test_site_platform.py
@@ -18,6 +18,7 @@
 from kumquathold_node.configuration_watch import UnreadableConfiguration
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.store import (
+    ABSENT,
     HistoryCompacted,
     StoreRefused,
     StoreUnavailable,
@@ -100,10 +101,12 @@
 
     def test_swap_writes_all_or_nothing(self) -> None:
         first = self.client.swap(
-            [Write('a', b'1', 0), Write('b', b'\0\xff', 0)]
+            [Write('a', b'1', ABSENT), Write('b', b'\0\xff', ABSENT)]
         )
         self.assertTrue(first.succeeded)
-        lost = self.client.swap([Write('a', b'2', 0), Write('c', b'3', 0)])
+        lost = self.client.swap(
+            [Write('a', b'2', ABSENT), Write('c', b'3', ABSENT)]
+        )
         self.assertFalse(lost.succeeded)
         self.assertEqual([one.value for one in lost.found], [b'1'])
         self.assertEqual(self.client.read('c').found, ())
@@ -140,7 +143,7 @@
     def test_lost_response_raises_and_closes_the_connection(self) -> None:
         self.store.responses_to_lose = 1
         with self.assertRaises(StoreUnavailable):
-            self.client.swap([Write('a', b'1', 0)])
+            self.client.swap([Write('a', b'1', ABSENT)])
         self.assertEqual(self.client.read('a').found[0].value, b'1')
 
     def test_error_statuses_raise(self) -> None:
@@ -166,11 +169,11 @@
     def test_revoked_lease_deletes_its_keys(self) -> None:
         lease = self.client.grant_lease(6.0)
         self.assertEqual(lease.seconds, 6.0)
-        self.client.swap([Write('a', b'1', 0, lease.id)])
-        self.assertEqual(self.client.keep_alive(lease.id).seconds, 6.0)
-        self.client.revoke_lease(lease.id)
+        self.client.swap([Write('a', b'1', ABSENT, lease)])
+        self.assertEqual(self.client.keep_alive(lease).seconds, 6.0)
+        self.client.revoke_lease(lease)
         self.assertEqual(self.client.read('a').found, ())
-        self.assertEqual(self.client.keep_alive(lease.id).seconds, 0.0)
+        self.assertEqual(self.client.keep_alive(lease).seconds, 0.0)
 
 
 class SiteConfigurationTest(unittest.TestCase):
