Put the configuration in force back into a restored store

What callers saw: on the default store, a restore from before a change left all nodes without a proof of freshness after 3.5 s, and requests with keys were refused until an operator accepted something; an edit of the version in force ended with 'no version 2 was accepted'; and an acceptance on the older version would have been given the number of the lost one, so that nodes with the lost one never took it. Cause: the reader ignored each manifest below the version in force, as a late read, and a version number was taken for one text for good. Change: decide_step (core) says what follows from a manifest: adopt, confirm, put back what is in force (a compare-and-swap, so an old read replaces nothing), or accept the text of a number that is taken under the next one. An acceptance waits for what is being put back.

--- a/packages/core/src/kumquathold_core/manifest.py
+++ b/packages/core/src/kumquathold_core/manifest.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import enum
 import hashlib
 import zlib
 
@@ -54,6 +55,42 @@
     """
 
 
+class ManifestStep(enum.Enum):
+    """What a node does about the manifest that it has read."""
+
+    confirm = enum.auto()
+    """Nothing: it names the configuration in force."""
+
+    adopt = enum.auto()
+    """Put its configuration in force."""
+
+    put_back = enum.auto()
+    """Write the configuration in force again, as the store has lost it."""
+
+    renumber = enum.auto()
+    """Accept its text under the next version, as the version is taken."""
+
+
+def decide_step(
+    found: Manifest | None, version: int, digest: str
+) -> ManifestStep:
+    """Decide what follows from a manifest that was read.
+
+    `version` and `digest` are those of the configuration in force, version 0 if
+    there is none. Accepted versions only rise, unless the store was restored
+    from an older copy: then a version may be missing, or have been accepted
+    again with another text.
+    """
+    found_version = found.version if found else 0
+    if found_version > version:
+        return ManifestStep.adopt
+    if found_version < version:
+        return ManifestStep.put_back
+    if found is not None and found.digest != digest:
+        return ManifestStep.renumber
+    return ManifestStep.confirm
+
+
 def compress_text(text: str) -> bytes:
     """Compress a rules file's text."""
     return zlib.compress(text.encode())
--- a/packages/node/src/kumquathold_node/acceptance.py
+++ b/packages/node/src/kumquathold_node/acceptance.py
@@ -1,13 +1,11 @@
 """Acceptance of a configuration by the fleet.
 
-Writes the text in chunks, then switches the manifest by a compare-and-swap
-against the revision it is based on. No other code changes the manifest.
+Writes the text, then switches the manifest by a compare-and-swap against the
+revision it is based on.
 """
 
 from __future__ import annotations
 
-import datetime
-import uuid
 from collections.abc import Sequence
 from time import monotonic, sleep
 
@@ -15,15 +13,15 @@
 
 from kumquathold_core import manifest as manifests
 from kumquathold_core import rules_file, store_keys
-from kumquathold_core.manifest import Manifest
+from kumquathold_core.manifest import Manifest, ManifestStep
 from kumquathold_core.routing import RouteTable
-from kumquathold_node import configuration
+from kumquathold_node import manifest_store
 from kumquathold_node.configuration import (
     Configuration,
     ConfigurationFoundEvent,
-    ConfigurationReader,
     ConfigurationService,
 )
+from kumquathold_node.configuration_reader import ConfigurationReader
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.store import (
     ABSENT,
@@ -31,8 +29,8 @@
     Revision,
     StoredValue,
     StoreError,
+    StoreRestored,
     StoreUnavailable,
-    Write,
 )
 
 SWITCH_TIMEOUT_SECONDS = 8.0
@@ -59,6 +57,10 @@
         self.manifest = manifest
 
 
+class VersionMissing(AcceptanceError):
+    """The store was restored, and lacks the version in force."""
+
+
 class NotAccepted(AcceptanceError):
     """The store failed or refused a call, and nothing was accepted."""
 
@@ -91,21 +93,14 @@
     rules = rules_file.parse_rules(proposal.text)
     store: KeyValueStore = kernel.find('store')
     compressed = manifests.compress_text(proposal.text)
-    manifest = Manifest(
-        version=proposal.base + 1,
-        digest=manifests.digest_compressed(compressed),
-        chunks=len(manifests.split_chunks(compressed)),
+    manifest = manifest_store.make_manifest(
+        proposal.base + 1,
+        compressed,
         author=proposal.author,
         note=proposal.note,
-        accepted_at=datetime.datetime.now(datetime.UTC).isoformat(),
-        acceptance=uuid.uuid4().hex,
     )
-    try:
-        revision = _check_base(store, proposal.base)
-        _write_chunks(store, manifest, compressed)
-    except StoreError as error:
-        raise NotAccepted(str(error)) from error
-    _switch_manifest(store, manifest, revision)
+    revision = _prepare_switch(kernel, proposal.base, compressed)
+    _switch_manifest(store, manifest, compressed, revision)
     _publish(
         kernel,
         Configuration(
@@ -124,7 +119,7 @@
     prefix = store_keys.HISTORY_PREFIX
     reading = store.read_prefix(prefix)
     latest = reversed(reading.found[-limit:])
-    return [configuration.decode_manifest(stored) for stored in latest]
+    return [manifest_store.decode_manifest(stored) for stored in latest]
 
 
 def read_version_text(reader: ConfigurationReader, version: int) -> str | None:
@@ -136,54 +131,98 @@
     reading = reader.store.read(key)
     if not reading.found:
         return None
-    manifest = configuration.decode_manifest(reading.found[0])
+    manifest = manifest_store.decode_manifest(reading.found[0])
     return reader.read_configuration(manifest).text
 
 
-def _read_manifest(store: KeyValueStore) -> StoredValue | None:
-    reading = store.read(store_keys.MANIFEST_KEY)
-    return reading.found[0] if reading.found else None
+def _prepare_switch(kernel: Kernel, base: int, compressed: bytes) -> Revision:
+    """Check the base and write the text; return the revision to swap against.
 
+    Waits while a store that was restored has not got back what is in force.
+    Raises `Conflict` or `NotAccepted`.
+    """
+    store: KeyValueStore = kernel.find('store')
+    service: ConfigurationService = kernel.find('configuration')
+    deadline = monotonic() + SWITCH_TIMEOUT_SECONDS
+    cause = ''
+    while monotonic() < deadline:
+        try:
+            return _try_prepare(store, base, service.current, compressed)
+        except (StoreRestored, VersionMissing) as error:
+            cause = str(error)
+        except StoreError as error:
+            raise NotAccepted(str(error)) from error
+        sleep(SWITCH_RETRY_SECONDS)
+    raise NotAccepted(cause)
 
-def _check_base(store: KeyValueStore, base: int) -> Revision:
-    """Return the revision to swap against, `ABSENT` for a missing key.
 
-    Raises `Conflict` if the version in force is not `base`.
+def _try_prepare(
+    store: KeyValueStore, base: int, in_force: Configuration, compressed: bytes
+) -> Revision:
+    revision = _check_base(store, base, in_force)
+    manifest_store.write_text(store, compressed)
+    return revision
+
+
+def _check_base(
+    store: KeyValueStore, base: int, in_force: Configuration
+) -> Revision:
+    """Return the revision to swap against, `ABSENT` for a key that is missing.
+
+    Raises `Conflict` if the version in force is not `base`, and
+    `VersionMissing` if the store does not have what this node has in force.
     """
-    stored = _read_manifest(store)
-    manifest = configuration.decode_manifest(stored) if stored else None
+    stored = manifest_store.read_manifest(store)
+    manifest = manifest_store.decode_manifest(stored) if stored else None
     version = manifest.version if manifest else 0
-    if version != base:
+    step = manifests.decide_step(manifest, in_force.version, in_force.digest)
+    if step == ManifestStep.put_back:
+        raise VersionMissing(
+            f'the store has version {version}, but version {in_force.version}'
+            ' is in force, and is written again by the nodes that poll'
+        )
+    if version != base or step == ManifestStep.renumber:
         raise Conflict(base, manifest)
     return stored.mod_revision if stored else ABSENT
 
 
-def _write_chunks(
-    store: KeyValueStore, manifest: Manifest, compressed: bytes
-) -> None:
-    for number, chunk in enumerate(manifests.split_chunks(compressed)):
-        key = store_keys.chunk_key(manifest.digest, number)
-        store.swap([Write(key, chunk, expected_revision=None)])
-
-
 def _switch_manifest(
-    store: KeyValueStore, manifest: Manifest, revision: Revision
+    store: KeyValueStore,
+    manifest: Manifest,
+    compressed: bytes,
+    revision: Revision,
 ) -> None:
     """Swap the manifest; raise unless this acceptance took effect.
 
-    A swap whose response was lost is retried. It also creates the history
-    key, so it takes effect at most once, and a retry that fails reads there
-    whether an earlier attempt took effect.
+    A swap whose response was lost is retried.
     """
-    deadline = monotonic() + SWITCH_TIMEOUT_SECONDS
-    cause = ''
     try:
-        if _try_switch(store, manifest, revision):
-            return
+        is_done = _try_switch(store, manifest, revision)
     except StoreUnavailable as error:
+        is_done = False
         cause = str(error)
     except StoreError as error:
         raise NotAccepted(str(error)) from error
+    else:
+        cause = ''
+    if not is_done:
+        _retry_switch(store, manifest, compressed, revision, cause)
+
+
+def _retry_switch(
+    store: KeyValueStore,
+    manifest: Manifest,
+    compressed: bytes,
+    revision: Revision,
+    cause: str,
+) -> None:
+    """Swap the manifest until it is known that it took effect.
+
+    The swap also creates the history key, so it takes effect at most once, and
+    a retry that fails reads there whether an earlier attempt did. The text is
+    written again before, as the store may have been restored in between.
+    """
+    deadline = monotonic() + SWITCH_TIMEOUT_SECONDS
     while monotonic() < deadline:
         sleep(SWITCH_RETRY_SECONDS)
         try:
@@ -210,14 +249,7 @@
 
     Raises `Conflict` if another acceptance of the version did.
     """
-    value = msgspec.json.encode(manifest)
-    history_key = store_keys.history_key(manifest.version)
-    swap = store.swap(
-        [
-            Write(store_keys.MANIFEST_KEY, value, expected_revision=revision),
-            Write(history_key, value, expected_revision=ABSENT),
-        ]
-    )
+    swap = manifest_store.swap_manifest(store, manifest, revision)
     if swap.succeeded:
         return True
     return _find_acceptance(swap.found, manifest)
@@ -246,7 +278,7 @@
     history_key = store_keys.history_key(manifest.version)
     for stored in found:
         if stored.key == history_key:
-            other = configuration.decode_manifest(stored)
+            other = manifest_store.decode_manifest(stored)
             if other.acceptance == manifest.acceptance:
                 return True
             raise Conflict(manifest.version - 1, other)
--- a/packages/node/src/kumquathold_node/adapter.py
+++ b/packages/node/src/kumquathold_node/adapter.py
@@ -14,7 +14,7 @@
 from kumquathold_core import rules_file
 from kumquathold_core.rules import Rules
 from kumquathold_node.announcements import make_announcement_app
-from kumquathold_node.configuration import ConfigurationReader
+from kumquathold_node.configuration_reader import ConfigurationReader
 from kumquathold_node.dialect import CallerDialect, UpstreamDialect
 from kumquathold_node.etcd_store import EtcdStore
 from kumquathold_node.http_server import WsgiApp
--- a/packages/node/src/kumquathold_node/configuration.py
+++ b/packages/node/src/kumquathold_node/configuration.py
@@ -1,7 +1,7 @@
 """The configuration service: puts the latest accepted rules in force.
 
-Two tasks: one polls the store and may block on it; the other owns the rules
-in force, exchanges them with peers, and never blocks.
+Its task owns the rules in force, exchanges them with peers, and never blocks.
+What reads the store is a service of its own, see `configuration_reader`.
 """
 
 from __future__ import annotations
@@ -14,25 +14,15 @@
 import msgspec
 from loguru import logger
 
-from kumquathold_core import distribution, rules_file, store_keys
+from kumquathold_core import distribution, rules_file
 from kumquathold_core import manifest as manifests
 from kumquathold_core.forwarding import BODY_CHUNK_BYTES
-from kumquathold_core.manifest import Manifest
 from kumquathold_core.routing import RouteTable
 from kumquathold_core.rules import EMPTY_RULES, Rules
-from kumquathold_node import freshness_service
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import Membership
-from kumquathold_node.membership_messages import PingCommand
 from kumquathold_node.metrics import Metrics
-from kumquathold_node.settings import Settings
-from kumquathold_node.store import (
-    ABSENT,
-    KeyValueStore,
-    StoredValue,
-    StoreError,
-)
 from kumquathold_node.transport import Transport
 
 if TYPE_CHECKING:
@@ -41,18 +31,6 @@
 RulesReader = Callable[[str], Rules]
 """Parses the text of a configuration."""
 
-POLL_SECONDS = 1.0
-"""Shortest interval between polls of the store, and between pings."""
-
-CHECK_SECONDS = 0.25
-"""Interval at which the reader checks whether to poll or ping."""
-
-PING_PROOF_AGE_SECONDS = 1.5
-"""Age of the proof of freshness from which the readers are pinged."""
-
-POLL_PROOF_AGE_SECONDS = 2.2
-"""Age of the proof from which a node that is no reader polls the store."""
-
 FETCH_RETRY_SECONDS = 0.5
 """Shortest interval between requests until a configuration is adopted."""
 
@@ -294,100 +272,3 @@
 
     def _post_version(self, peer: str, version: int) -> None:
         self.task.post(VersionReportedEvent(peer, version))
-
-
-class ConfigurationReader:
-    """Polls the store, for this node's region or for itself."""
-
-    def __init__(self, kernel: Kernel, settings: Settings) -> None:
-        """Look up the services that it uses, and register itself."""
-        self.store: KeyValueStore = kernel.find('store')
-        self.freshness: FreshnessService = kernel.find('freshness')
-        self.membership: Membership = kernel.find('membership')
-        self.configuration: ConfigurationService = kernel.find('configuration')
-        self.metrics: Metrics = kernel.find('metrics')
-        self.region = settings.region
-        self.own = settings.peer
-        self.last_poll_at = -POLL_SECONDS
-        self.last_ping_at = -POLL_SECONDS
-        self.revision = ABSENT
-        self.task = Task(
-            'configuration-reader',
-            {},
-            tick=self.check,
-            tick_seconds=CHECK_SECONDS,
-        )
-        kernel.register('reader', self)
-        kernel.add_task(self.task)
-
-    def check(self) -> None:
-        """Poll the store or ping the readers, if either is due.
-
-        A node that is no reader of its region gets proofs of freshness by
-        heartbeat, and polls the store itself only if these grow old.
-        """
-        now = monotonic()
-        age = self.freshness.get_proof_age()
-        nodes = self.membership.view.nodes
-        readers = freshness_service.select_region_readers(nodes, self.region)
-        is_reader = self.own in readers
-        is_due = now - self.last_poll_at >= POLL_SECONDS
-        if is_due and (is_reader or age >= POLL_PROOF_AGE_SECONDS):
-            self.last_poll_at = now
-            self.poll()
-            age = self.freshness.get_proof_age()
-        if (
-            age >= PING_PROOF_AGE_SECONDS
-            and now - self.last_ping_at >= POLL_SECONDS
-        ):
-            self.last_ping_at = now
-            near_store = self.freshness.list_store_region_readers()
-            for peer in (readers | near_store) - {self.own}:
-                self.membership.task.post(PingCommand(peer))
-
-    def poll(self) -> None:
-        """Read the manifest, and the text if the version is new."""
-        requested_at = monotonic()
-        try:
-            self._read_manifest(requested_at)
-        except StoreError as error:
-            self.freshness.record_store_failure(requested_at)
-            self.metrics.count('configuration.poll_failed')
-            logger.debug('store poll failed', cause=str(error))
-
-    def read_configuration(self, manifest: Manifest) -> Configuration:
-        """Read and parse the text that a manifest identifies.
-
-        Raises `StoreError` or `CorruptConfiguration`.
-        """
-        prefix = store_keys.chunk_prefix(manifest.digest)
-        reading = self.store.read_prefix(prefix)
-        compressed = b''.join(stored.value for stored in reading.found)
-        return Configuration.from_compressed(
-            manifest.version,
-            compressed,
-            manifest.digest,
-        )
-
-    def _read_manifest(self, requested_at: float) -> None:
-        reading = self.store.read(store_keys.MANIFEST_KEY)
-        if reading.revision < self.revision:
-            self.metrics.count('configuration.older_revision')
-            return
-        self.revision = reading.revision
-        manifest = decode_manifest(reading.found[0]) if reading.found else None
-        version = manifest.version if manifest else 0
-        current = self.configuration.current.version
-        if version < current:
-            self.metrics.count('configuration.older_revision')
-            return
-        if manifest is not None and version > current:
-            event = ConfigurationFoundEvent(self.read_configuration(manifest))
-            self.configuration.task.post(event)
-            return
-        self.freshness.record_proof(version, requested_at)
-
-
-def decode_manifest(stored: StoredValue) -> Manifest:
-    """Decode a manifest as the store holds it."""
-    return msgspec.json.decode(stored.value, type=Manifest)
--- a/packages/standins/src/kumquathold_standins/capacity.py
+++ b/packages/standins/src/kumquathold_standins/capacity.py
@@ -15,7 +15,7 @@
 
 from kumquathold_core import manifest, member_table
 from kumquathold_node import claims_service, freshness_service, seeds
-from kumquathold_node.configuration import POLL_SECONDS
+from kumquathold_node.configuration_reader import POLL_SECONDS
 from kumquathold_node.membership import DEAD_PING_SECONDS
 from kumquathold_node.rate_election import MAX_KEEP_ALIVE_INTERVAL_SECONDS
 from kumquathold_node.settings import DEFAULT_HEARTBEAT_SECONDS
