Write the text of a configuration again before its switch is retried

Cause: the text is written, then the manifest is switched. A store that is restored in between has lost the text, and the switch succeeds all the same, as the manifest that it is based on is older than the copy. Evidence: test_manifest_never_names_a_text_that_the_store_lost failed before (0 of 1 chunks in the store) and passes now.

--- a/packages/node/src/kumquathold_node/acceptance.py
+++ b/packages/node/src/kumquathold_node/acceptance.py
@@ -226,6 +226,7 @@
     while monotonic() < deadline:
         sleep(SWITCH_RETRY_SECONDS)
         try:
+            manifest_store.write_text(store, compressed)
             if _try_switch(store, manifest, revision):
                 return
         except StoreError as error:
