Write recent claims again into a restored store, and pause new ones

On the default store a request that must run once could run twice: its claim was acknowledged, lost in a restore, and the same key was granted to another node. The outcome of a request that was running was lost with its claim; a claim that had been deleted, as its request had not run, came back and blocked its key for a week. Cause: a claim was taken to be in the store for good once it was acknowledged. Change: an owner remembers the claims of the last minute (bounded in number and bytes) and writes them again once it notices a restore; it reads one of them if it has not called the store for a second. A node that notices a restore grants no new claim for 4 s, so that owners come first. Outcomes are based on what is left of their claim. What the store shows of a write is judged by a function of its own (claim_writes). Left open (INVARIANTS): an owner that ended, or is cut off, in those seconds; a node that starts in them.

--- a/packages/node/src/kumquathold_node/claims_service.py
+++ b/packages/node/src/kumquathold_node/claims_service.py
@@ -4,6 +4,10 @@
 store in one transaction (group commit), so that the number of transactions does
 not grow with that of requests. All writes are compare-and-swap. After a lost
 reply it reads the claims back, to find out whether the writes took effect.
+
+A restored store may have lost claims. The service writes those again that it
+wrote shortly before, and grants no new ones until all nodes have had the time
+to do so.
 """
 
 from __future__ import annotations
@@ -16,12 +20,26 @@
 import msgspec
 from loguru import logger
 
-from kumquathold_core import claims, store_keys
-from kumquathold_core.claims import Claim, ClaimState, StoredResponse
+from kumquathold_core import claims
+from kumquathold_core.claims import Claim, ClaimState
 from kumquathold_core.forwarding import Outcome, Refusal
+from kumquathold_node.claim_writes import (
+    ClaimGrantedEvent,
+    ClaimRefusedEvent,
+    OutcomeStoredEvent,
+    PendingWrite,
+    StoreOutcomeCommand,
+    WriteState,
+    first_of_each_key,
+    judge_write,
+    key_of,
+    make_outcome_write,
+    make_refusal,
+)
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner_requests import OwnerRequest
+from kumquathold_node.recent_claims import RecentClaims
 from kumquathold_node.settings import Settings
 from kumquathold_node.store import (
     ABSENT,
@@ -53,83 +71,21 @@
 LEASE_REUSE_SECONDS = HOUR_SECONDS
 """How long new claims share a lease before a new one is granted."""
 
+RESTORE_PAUSE_SECONDS = 4.0
+"""Time without new claims after a restore of the store was noticed.
 
-class ClaimGrantedEvent(msgspec.Struct, frozen=True):
-    """The claim is written; the request may run."""
-
-    request: OwnerRequest
-    """The request."""
-
-
-class ClaimRefusedEvent(msgspec.Struct, frozen=True):
-    """The request must not run."""
-
-    request: OwnerRequest
-    """The request."""
-
-    outcome: Outcome
-    """Whether the claimed request ran, as far as is known."""
-
-    reason: Refusal
-    """Why it must not run."""
-
-    response: StoredResponse | None = None
-    """The stored response to return, if there is one."""
-
-
-class OutcomeStoredEvent(msgspec.Struct, frozen=True):
-    """The outcome is stored, or will be once the store is reachable."""
-
-    request: OwnerRequest
-    """The request."""
-
-    result: UpstreamResponse | CallFailed
-    """The response or failure of its call."""
-
-
-class StoreOutcomeCommand(msgspec.Struct, frozen=True):
-    """Asks the service to store the outcome of a claimed request."""
-
-    request: OwnerRequest
-    """The request."""
-
-    result: UpstreamResponse | CallFailed
-    """The response or failure of its call."""
-
-
-class PendingWrite(msgspec.Struct, eq=False):
-    """A claim or outcome that is to be written."""
-
-    request: OwnerRequest
-    """The request."""
-
-    key: str
-    """Key of the claim in the store."""
-
-    claim: Claim
-    """The claim to write; with `is_delete`, the claim to delete."""
-
-    expected_revision: Revision
-    """Revision that the key must have, or `ABSENT`."""
-
-    result: UpstreamResponse | CallFailed | None = None
-    """The response or failure of the call; `None` for a new claim."""
-
-    is_delete: bool = False
-    """Whether to delete the claim, as the request did not run."""
+All nodes notice it within that time, and write again what it has lost.
+"""
 
-    is_reported: bool = False
-    """Whether the owner has been notified."""
+MAX_SILENCE_SECONDS = 1.0
+"""Longest time without a call to the store while it may have lost a claim."""
 
 
 class AbandonedClaim(msgspec.Struct, frozen=True):
     """A claim that may have been written although its request was refused."""
 
-    key: str
-    """Key of the claim in the store."""
-
-    claim_id: str
-    """Distinguishes it from a later claim under the same key."""
+    pending: PendingWrite
+    """The write that may have taken effect."""
 
     expires_at: float
     """When to stop looking for it, in seconds of the monotonic clock."""
@@ -151,6 +107,12 @@
         self.suspended_until = 0.0
         self.lease: Lease | None = None
         self.lease_renewal_at = 0.0
+        self.era = self.store.era
+        self.paused_until = 0.0
+        """End of the time without new claims after a restore."""
+        self.called_at = 0.0
+        """When the store was last called."""
+        self.recent = RecentClaims()
         self.task = Task(
             'claims',
             {
@@ -178,7 +140,7 @@
             upstream=request.message.upstream,
             claimed_at=datetime.datetime.now(datetime.UTC).isoformat(),
         )
-        self.task.post(PendingWrite(request, _key_of(request), claim, ABSENT))
+        self.task.post(PendingWrite(request, key_of(request), claim, ABSENT))
 
     def store_outcome(
         self,
@@ -202,33 +164,70 @@
             for pending in group:
                 self._give_up(pending)
             return
-        self._write_group(group)
+        self._follow_era()
+        self._write_group(self._refuse_while_paused(group))
 
     def on_tick(self) -> None:
         """Retry deferred writes and delete abandoned claims."""
         if monotonic() < self.suspended_until:
             return
-        deferred, self.deferred = self.deferred, []
+        self._check_for_restore()
+        self._follow_era()
+        deferred, self.deferred = self._list_deferred(), []
         if deferred:
             self._write_group(deferred[:MAX_GROUP_SIZE])
             self.deferred.extend(deferred[MAX_GROUP_SIZE:])
         self._delete_abandoned_claims()
 
+    def _follow_era(self) -> None:
+        """After a restore, pause new claims and write the recent ones again."""
+        era = self.store.era
+        if era == self.era:
+            return
+        self.era = era
+        now = monotonic()
+        self.paused_until = now + RESTORE_PAUSE_SECONDS
+        rewrites = self.recent.make_rewrites(now)
+        outcomes = [one for one in self.deferred if not one.is_rewrite]
+        self.deferred = [*rewrites, *outcomes]
+        self.metrics.count('claims.rewrites', len(rewrites))
+        logger.warning('claims written again', era=era, claims=len(rewrites))
+
+    def _list_deferred(self) -> list[PendingWrite]:
+        """Return the deferred writes, without rewrites that are outdated."""
+        now = monotonic()
+        return [
+            pending
+            for pending in self.deferred
+            if not pending.is_rewrite or self.recent.is_due(pending, now)
+        ]
+
+    def _refuse_while_paused(
+        self, group: list[PendingWrite]
+    ) -> list[PendingWrite]:
+        """Refuse new claims during a pause; return the other writes."""
+        if monotonic() >= self.paused_until:
+            return group
+        new_claims = [pending for pending in group if pending.is_new_claim]
+        for pending in new_claims:
+            self._give_up(pending)
+        return [pending for pending in group if pending not in new_claims]
+
+    def _check_for_restore(self) -> None:
+        """Read a recent claim if the store has not been called for a while."""
+        now = monotonic()
+        key = self.recent.find_latest(now)
+        if key is None or now - self.called_at < MAX_SILENCE_SECONDS:
+            return
+        self.called_at = now
+        try:
+            self.store.read(key)
+        except StoreError:
+            self.metrics.count('claims.store_unavailable')
+
     def _make_outcome_write(self, command: StoreOutcomeCommand) -> PendingWrite:
-        key = _key_of(command.request)
-        claim, revision = self.held_claims.pop(key)
-        result = command.result
-        return PendingWrite(
-            request=command.request,
-            key=key,
-            claim=_make_final_claim(claim, result),
-            expected_revision=revision,
-            result=result,
-            is_delete=(
-                isinstance(result, CallFailed)
-                and result.outcome == Outcome.not_run
-            ),
-        )
+        held = self.held_claims.pop(key_of(command.request))
+        return make_outcome_write(command.request, held, command.result)
 
     def _take_waiting(self) -> list[PendingWrite]:
         waiting: list[PendingWrite] = []
@@ -247,7 +246,7 @@
         return waiting
 
     def _write_group(self, group: list[PendingWrite]) -> None:
-        remaining = _first_of_each_key(group)
+        remaining = first_of_each_key(group)
         for other in group:
             if other not in remaining:
                 self.task.post(other)
@@ -260,6 +259,7 @@
 
     def _try_write(self, group: list[PendingWrite]) -> list[PendingWrite]:
         """Write a group in one transaction; return the writes to retry."""
+        self.called_at = monotonic()
         try:
             swap = self._swap(group)
         except LeaseEnded:
@@ -269,7 +269,8 @@
         except StoreError as error:
             logger.warning('claims not written', cause=str(error))
             self.metrics.count('claims.store_unavailable')
-            return self._read_back(group)
+            self._follow_era()
+            return self._read_back(self._refuse_while_paused(group))
         self.metrics.count('claims.groups')
         self.metrics.count('claims.writes', len(group))
         if swap.succeeded:
@@ -307,6 +308,8 @@
         return lease
 
     def _read_back(self, group: list[PendingWrite]) -> list[PendingWrite]:
+        if not group:
+            return []
         try:
             reads = [self.store.read(pending.key) for pending in group]
         except StoreError:
@@ -322,28 +325,28 @@
         self,
         group: list[PendingWrite],
         found: tuple[StoredValue, ...],
-        revision: Revision,
+        read_at: Revision,
     ) -> list[PendingWrite]:
-        """Compare writes with the stored claims; return those to retry.
-
-        `revision` is the store's when they were read, if reported. What
-        was read from before the claim says nothing of it.
-        """
+        """Compare writes with the stored claims; return those to retry."""
         by_key = {stored.key: stored for stored in found}
         retries = []
         for pending in group:
             stored = by_key.get(pending.key)
-            if _is_applied(pending, stored):
-                self._complete(
-                    pending, stored.mod_revision if stored else ABSENT
-                )
-            elif _is_unchanged(pending, stored) or _is_older(revision, pending):
+            state = judge_write(pending, stored, read_at)
+            if state == WriteState.applied:
+                revision = stored.mod_revision if stored else ABSENT
+                self._complete(pending, revision)
+            elif state == WriteState.open:
                 retries.append(pending)
             else:
                 self._handle_conflict(pending, stored)
         return retries
 
     def _complete(self, pending: PendingWrite, revision: Revision) -> None:
+        if pending.is_rewrite:
+            self._complete_rewrite(pending, revision)
+            return
+        self.recent.record(pending, monotonic())
         if pending.result is not None:
             self._notify_owner(
                 pending, OutcomeStoredEvent(pending.request, pending.result)
@@ -352,9 +355,21 @@
         self.held_claims[pending.key] = (pending.claim, revision)
         self._notify_owner(pending, ClaimGrantedEvent(pending.request))
 
+    def _complete_rewrite(
+        self, rewrite: PendingWrite, revision: Revision
+    ) -> None:
+        """Base the outcome of a claim that is still held on the new write."""
+        held = self.held_claims.get(rewrite.key)
+        if held is not None and held[0] == rewrite.claim:
+            self.held_claims[rewrite.key] = (rewrite.claim, revision)
+
     def _handle_conflict(
         self, pending: PendingWrite, stored: StoredValue | None
     ) -> None:
+        if pending.is_rewrite:
+            # Its writer may have been refused, and delete the claim again.
+            self._give_up(pending)
+            return
         if pending.result is not None:
             logger.error('claim changed by another writer', key=pending.key)
             self._notify_owner(
@@ -364,37 +379,22 @@
         if stored is None:
             self._give_up(pending)
             return
-        found = claims.decode_claim(stored.value)
-        if found is None:
+        if claims.decode_claim(stored.value) is None:
             logger.error('claim unreadable', key=pending.key)
-        decision = claims.decide_repeat(found, pending.claim.fingerprint)
         self.metrics.count('claims.repeats')
-        if isinstance(decision, claims.ReplayResponse):
-            refused = ClaimRefusedEvent(
-                pending.request,
-                Outcome.ran,
-                Refusal.settled,
-                decision.response,
-            )
-        else:
-            refused = ClaimRefusedEvent(
-                pending.request,
-                decision.outcome,
-                decision.reason,
-            )
-        self._notify_owner(pending, refused)
+        self._notify_owner(pending, make_refusal(pending, stored))
 
     def _give_up(self, pending: PendingWrite) -> None:
         """Refuse the request of a new claim, or defer an outcome's write.
 
         The claim may be written all the same, so it is listed for deletion.
         """
+        if pending.is_rewrite:
+            self.deferred.append(pending)
+            return
         if pending.result is None:
             expires_at = monotonic() + ABANDONED_CLAIM_SECONDS
-            abandoned = AbandonedClaim(
-                pending.key, pending.claim.claim_id, expires_at
-            )
-            self.abandoned_claims.append(abandoned)
+            self.abandoned_claims.append(AbandonedClaim(pending, expires_at))
             refused = ClaimRefusedEvent(
                 pending.request,
                 Outcome.not_run,
@@ -434,64 +434,17 @@
 
         A missing key does not suffice, since the write may yet take effect.
         """
-        read = self.store.read(abandoned.key)
+        pending = abandoned.pending
+        read = self.store.read(pending.key)
         if not read.found:
             return False
         stored = read.found[0]
         found = claims.decode_claim(stored.value)
-        if found is None or found.claim_id != abandoned.claim_id:
+        if found is None or found.claim_id != pending.claim.claim_id:
             return True
-        write = Write(abandoned.key, None, stored.mod_revision)
-        return self.store.swap([write]).succeeded
-
-
-def _key_of(request: OwnerRequest) -> str:
-    digest = claims.digest_claim_key(request.message.claim)
-    return store_keys.claim_key(request.message.workspace, digest)
-
-
-def _make_final_claim(
-    claim: Claim, result: UpstreamResponse | CallFailed
-) -> Claim:
-    if isinstance(result, CallFailed):
-        return msgspec.structs.replace(claim, state=ClaimState.unknown)
-    return msgspec.structs.replace(
-        claim,
-        state=ClaimState.answered,
-        answer=claims.make_stored_response(
-            result.status, result.headers, result.body
-        ),
-    )
-
-
-def _first_of_each_key(group: list[PendingWrite]) -> list[PendingWrite]:
-    """Return the first write of each key.
-
-    A transaction may write a key only once.
-    """
-    firsts: dict[str, PendingWrite] = {}
-    for pending in group:
-        firsts.setdefault(pending.key, pending)
-    return list(firsts.values())
-
-
-def _is_applied(pending: PendingWrite, stored: StoredValue | None) -> bool:
-    if pending.is_delete:
-        return stored is None
-    if stored is None:
-        return False
-    found = claims.decode_claim(stored.value)
-    if found is None:
-        return False
-    is_own = found.claim_id == pending.claim.claim_id
-    return is_own and found.state == pending.claim.state
-
-
-def _is_unchanged(pending: PendingWrite, stored: StoredValue | None) -> bool:
-    revision = stored.mod_revision if stored else ABSENT
-    return revision == pending.expected_revision
-
-
-def _is_older(revision: Revision, pending: PendingWrite) -> bool:
-    """Whether a reported revision is from before the claim."""
-    return revision.number > 0 and revision < pending.expected_revision
+        write = Write(pending.key, None, stored.mod_revision)
+        is_deleted = self.store.swap([write]).succeeded
+        if is_deleted:
+            deletion = msgspec.structs.replace(pending, is_delete=True)
+            self.recent.record(deletion, monotonic())
+        return is_deleted
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -20,6 +20,7 @@
 from kumquathold_core.forwarding import Outcome, Refusal
 from kumquathold_core.request_registry import RequestRegistry
 from kumquathold_node import (
+    claim_writes,
     claims_service,
     owner_outcomes,
     owner_replies,
@@ -119,9 +120,9 @@
                 forwarding.CancelRequest: self.on_cancel_request,
                 forwarding.CrashNotice: self.crash_reports.on_crash_notice,
                 PeerStartedEvent: self.crash_reports.on_peer_started,
-                claims_service.ClaimGrantedEvent: self.on_claim_granted,
-                claims_service.ClaimRefusedEvent: self.on_claim_refused,
-                claims_service.OutcomeStoredEvent: self.on_outcome_stored,
+                claim_writes.ClaimGrantedEvent: self.on_claim_granted,
+                claim_writes.ClaimRefusedEvent: self.on_claim_refused,
+                claim_writes.OutcomeStoredEvent: self.on_outcome_stored,
                 CallSucceededEvent: self.on_call_succeeded,
                 CallBrokenEvent: self.on_call_broken,
                 CallFailedEvent: self.on_call_failed,
@@ -312,15 +313,11 @@
         for upstream in self.upstreams.values():
             self._start_queued(upstream)
 
-    def on_claim_granted(
-        self, granted: claims_service.ClaimGrantedEvent
-    ) -> None:
+    def on_claim_granted(self, granted: claim_writes.ClaimGrantedEvent) -> None:
         """Run a request whose claim is written."""
         self._call(granted.request)
 
-    def on_claim_refused(
-        self, refused: claims_service.ClaimRefusedEvent
-    ) -> None:
+    def on_claim_refused(self, refused: claim_writes.ClaimRefusedEvent) -> None:
         """Reply with the stored response or the refusal, without a call."""
         request = refused.request
         self._free_slot(request)
@@ -430,7 +427,7 @@
             self._refuse_queued(upstream)
 
     def on_outcome_stored(
-        self, stored: claims_service.OutcomeStoredEvent
+        self, stored: claim_writes.OutcomeStoredEvent
     ) -> None:
         """Reply to a once-only request now that its outcome is stored."""
         if isinstance(stored.result, UpstreamResponse):
--- a/tests/test_restored_records.py
+++ b/tests/test_restored_records.py
@@ -13,7 +13,7 @@
 
 from kumquathold_core import store_keys
 from kumquathold_core.claims import ClaimState, decode_claim
-from kumquathold_core.forwarding import Refusal
+from kumquathold_core.forwarding import Outcome, Refusal
 from kumquathold_node.claims_service import (
     ClaimGrantedEvent,
     ClaimRefusedEvent,
@@ -25,6 +25,7 @@
 from kumquathold_node.owner_requests import OwnerRequest
 from kumquathold_node.seeds import Seeds, decode_addresses
 from kumquathold_node.store import StoreError
+from kumquathold_node.upstream_calls import CallFailed
 from kumquathold_node.upstream_responses import UpstreamResponse
 from tests.site_store import SiteStore, serving_store
 from tests.test_jobs import WORK
@@ -159,6 +160,24 @@
         assert isinstance(repeated, ClaimRefusedEvent)
         self.assertEqual(repeated.reason, Refusal.settled)
 
+    def test_claim_of_a_request_that_did_not_run_does_not_come_back(
+        self,
+    ) -> None:
+        first, second = self.nodes
+        granted = self.grant(first, 'key')
+        kept = self.site.make_copy()
+        failed = CallFailed(Outcome.not_run, Refusal.store_unavailable)
+        command = StoreOutcomeCommand(granted.request, failed)
+        first.service.on_store_outcome(command)
+        self.assertEqual(self.list_states(), [])
+        self.site.restore(kept)
+        self.assertEqual(self.list_states(), [ClaimState.claimed])
+        for _ in range(int(SETTLED_SECONDS / TICK_SECONDS)):
+            self.tick()
+            if not self.list_states():
+                break
+        self.assertIsInstance(second.claim('key'), ClaimGrantedEvent)
+
 
 class RestoredSeedsTest(unittest.TestCase):
     """The record by which nodes join the fleet."""
