Restore the store from older copies in the soak

The pause of new claims is 6 s and the silence after which an owner looks for a restore 2 s, so that the look-ups of 1,300 nodes stay at 650 reads a second at most (CAPACITY); 4 s and 1 s before.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 PACKAGES := packages/core packages/node packages/cli packages/standins
 SOURCES := packages platform tests
 SEEDS ?= 5
+SOAK_OPTIONS ?=
 FIRST ?= 1
 
 .PHONY: demo test lint measure measure-full soak slopes format clean
@@ -34,7 +35,7 @@
 	$(BIN)/python -m kumquathold_standins.measure
 
 soak: $(VENV)/.ready
-	$(BIN)/python -m kumquathold_standins.soak --seeds $(SEEDS) --first $(FIRST)
+	$(BIN)/python -m kumquathold_standins.soak --seeds $(SEEDS) --first $(FIRST) $(SOAK_OPTIONS)
 
 slopes: $(VENV)/.ready
 	$(BIN)/python -m kumquathold_standins.slopes
--- a/packages/node/src/kumquathold_node/claims_service.py
+++ b/packages/node/src/kumquathold_node/claims_service.py
@@ -71,13 +71,13 @@
 LEASE_REUSE_SECONDS = HOUR_SECONDS
 """How long new claims share a lease before a new one is granted."""
 
-RESTORE_PAUSE_SECONDS = 4.0
+RESTORE_PAUSE_SECONDS = 6.0
 """Time without new claims after a restore of the store was noticed.
 
 All nodes notice it within that time, and write again what it has lost.
 """
 
-MAX_SILENCE_SECONDS = 1.0
+MAX_SILENCE_SECONDS = 2.0
 """Longest time without a call to the store while it may have lost a claim."""
 
 
--- a/packages/standins/src/kumquathold_standins/capacity.py
+++ b/packages/standins/src/kumquathold_standins/capacity.py
@@ -314,6 +314,13 @@
             'readers + seed records',
             READ_LIMIT_PER_SECOND,
         ),
+        Figure(
+            'platform',
+            'reads/s that look for a restore, at most',
+            NODES / claims_service.MAX_SILENCE_SECONDS,
+            'a node with recent claims that has not called the store for 2 s',
+            READ_LIMIT_PER_SECOND,
+        ),
         Figure(
             'platform',
             'writes/s without claims',
--- a/packages/standins/src/kumquathold_standins/soak.py
+++ b/packages/standins/src/kumquathold_standins/soak.py
@@ -104,9 +104,10 @@
     *,
     nodes: int = 3,
     seconds: float = FAULT_SECONDS,
+    has_restores: bool = False,
 ) -> Result:
     """Run one seed; exceptions of the test itself propagate."""
-    plan = draw_plan(seed, seconds)
+    plan = draw_plan(seed, seconds, has_restores=has_restores)
     with running_fleet(make_fleet_spec(nodes)) as fleet:
         return Soak(fleet, plan).run()
 
@@ -277,10 +278,14 @@
             shutil.copy(log, directory)
 
 
-def _run_and_report(seed: int, nodes: int, seconds: float) -> bool:
+def _run_and_report(
+    seed: int, nodes: int, seconds: float, *, has_restores: bool
+) -> bool:
     """Run a seed, print its result and return whether all checks passed."""
     try:
-        result = run_seed(seed, nodes=nodes, seconds=seconds)
+        result = run_seed(
+            seed, nodes=nodes, seconds=seconds, has_restores=has_restores
+        )
     except Exception:
         click.echo(f'seed {seed}: the run failed with an error')
         click.echo(traceback.format_exc())
@@ -298,12 +303,19 @@
     default=FAULT_SECONDS,
     help='Seconds of fault injection per seed.',
 )
-def main(*, seeds: int, first: int, nodes: int, seconds: float) -> None:
+@click.option(
+    '--restores',
+    is_flag=True,
+    help='Also restore the store from older copies.',
+)
+def main(
+    *, seeds: int, first: int, nodes: int, seconds: float, restores: bool
+) -> None:
     """Run seeds one after the other; exit with status 1 on any failure."""
     # Exit by exception, so that the processes of the running fleet are stopped.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_TERMINATED))
     passed = [
-        _run_and_report(seed, nodes, seconds)
+        _run_and_report(seed, nodes, seconds, has_restores=restores)
         for seed in range(first, first + seeds)
     ]
     click.echo(f'{sum(passed)} of {len(passed)} seeds passed every check')
--- a/packages/standins/src/kumquathold_standins/soak_faults.py
+++ b/packages/standins/src/kumquathold_standins/soak_faults.py
@@ -50,6 +50,9 @@
     Fault.store_reads_older: FaultKind(
         links.select_store, links.make_store_fault(older=True)
     ),
+    Fault.store_restored: FaultKind(
+        links.select_store_and_nodes, links.restore_store
+    ),
     Fault.node_paused: FaultKind(processes.select_node, processes.pause_node),
     Fault.node_killed: FaultKind(processes.select_node, processes.kill_node),
     Fault.node_terminated: FaultKind(
--- a/packages/standins/src/kumquathold_standins/soak_link_faults.py
+++ b/packages/standins/src/kumquathold_standins/soak_link_faults.py
@@ -11,6 +11,8 @@
 MAX_DELAY_SECONDS = 0.4
 MAX_STORE_DELAY_SECONDS = 2.0
 MAX_LOST_REPLIES = 5
+SETTLE_SECONDS = 6.0
+"""Time after a restore in which owners write again what the store lost."""
 
 TargetSelector = Callable[[FaultContext, Step], tuple[object, ...]]
 """Selects the targets that a fault reserves while it lasts."""
@@ -46,6 +48,18 @@
     return (STORE,)
 
 
+def select_store_and_nodes(
+    context: FaultContext, _: Step
+) -> tuple[object, ...]:
+    """Select all that must be up for a restored store to get back its claims.
+
+    These are the store, the nodes and the links between them.
+    """
+    peers = {node.peer for node in context.fleet.nodes}
+    links = context.fleet.relay.between(peers, {STORE})
+    return (STORE, *context.fleet.nodes, *links)
+
+
 def _cut_links(links: list[Link], step: Step) -> Iterator[float]:
     for link in links:
         link.cut()
@@ -124,3 +138,11 @@
     """Make a few writes to the store take effect without a reply."""
     count = 1 + int(step.strength * MAX_LOST_REPLIES)
     yield from make_store_fault(lose_replies=count)(context, step)
+
+
+def restore_store(context: FaultContext, step: Step) -> Iterator[float]:
+    """Bring the store back from a copy that is some seconds old."""
+    context.fleet.post_platform('copy')
+    yield step.seconds
+    context.fleet.post_platform('restore')
+    yield SETTLE_SECONDS
--- a/packages/standins/src/kumquathold_standins/soak_plan.py
+++ b/packages/standins/src/kumquathold_standins/soak_plan.py
@@ -46,6 +46,11 @@
     upstream_cuts_answers = enum.auto()
     upstream_sheds = enum.auto()
     upstream_slow = enum.auto()
+    store_restored = enum.auto()
+
+
+DRAWN_FAULTS = tuple(one for one in Fault if one != Fault.store_restored)
+"""Faults of the tracks; restores of the store have a track of their own."""
 
 
 class Step(msgspec.Struct, frozen=True):
@@ -84,29 +89,43 @@
     """Sequences of faults that run concurrently."""
 
 
-def draw_plan(seed: int, seconds: float, tracks: int = TRACKS) -> Plan:
-    """Draw a plan; equal arguments give equal plans."""
+def draw_plan(
+    seed: int,
+    seconds: float,
+    tracks: int = TRACKS,
+    *,
+    has_restores: bool = False,
+) -> Plan:
+    """Draw a plan; equal arguments give equal plans.
+
+    `has_restores` adds a track of restores and leaves the others as they are.
+    """
     rng = random.Random(seed)
-    drawn = tuple(_draw_track(rng, seconds) for _ in range(tracks))
-    return Plan(seed=seed, seconds=seconds, tracks=drawn)
+    drawn = [_draw_track(rng, seconds, DRAWN_FAULTS) for _ in range(tracks)]
+    if has_restores:
+        restores = (Fault.store_restored,)
+        drawn.append(_draw_track(rng, seconds, restores))
+    return Plan(seed=seed, seconds=seconds, tracks=tuple(drawn))
 
 
-def _draw_track(rng: random.Random, seconds: float) -> tuple[Step, ...]:
+def _draw_track(
+    rng: random.Random, seconds: float, faults: tuple[Fault, ...]
+) -> tuple[Step, ...]:
     steps = []
     elapsed = 0.0
     while elapsed < seconds:
-        step = _draw_step(rng)
+        step = _draw_step(rng, faults)
         elapsed += step.pause + step.seconds
         steps.append(step)
     return tuple(steps)
 
 
-def _draw_step(rng: random.Random) -> Step:
+def _draw_step(rng: random.Random, faults: tuple[Fault, ...]) -> Step:
     max_seconds = MAX_FAULT_SECONDS
     if rng.random() < LONG_FAULT_SHARE:
         max_seconds = MAX_LONG_FAULT_SECONDS
     return Step(
-        fault=rng.choice(list(Fault)),
+        fault=rng.choice(faults),
         pause=rng.uniform(MIN_PAUSE_SECONDS, MAX_PAUSE_SECONDS),
         seconds=rng.uniform(MIN_FAULT_SECONDS, max_seconds),
         strength=rng.random(),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,6 +50,10 @@
     def test_short_run(self) -> None:
         self.check(run_seed(SHORT_SEED, seconds=SHORT_SECONDS))
 
+    def test_short_run_with_a_store_that_is_restored(self) -> None:
+        result = run_seed(SHORT_SEED, seconds=SHORT_SECONDS, has_restores=True)
+        self.check(result)
+
     def test_seeds_that_once_failed(self) -> None:
         with ThreadPoolExecutor(MAX_CONCURRENT_RUNS) as executor:
             for result in executor.map(run_seed, REGRESSIONS):
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -230,10 +230,15 @@
     def test_fifty_plans_cover_every_fault(self) -> None:
         drawn: set[Fault] = set()
         for seed in range(50):
-            for track in draw_plan(seed, 15.0).tracks:
+            for track in draw_plan(seed, 15.0, has_restores=True).tracks:
                 drawn.update(step.fault for step in track)
         self.assertEqual(drawn, set(Fault))
 
+    def test_restores_leave_the_other_tracks_as_they_are(self) -> None:
+        plain = draw_plan(7, 15.0).tracks
+        restored = draw_plan(7, 15.0, has_restores=True).tracks
+        self.assertEqual(restored[:-1], plain)
+
 
 class LedgerTest(unittest.TestCase):
     """Reads of the ledger while upstreams append to it."""
