Split abandoned claims and the shared lease from the claims service

Beside it, a new claim that was refused before it was sent was looked for in the store for 30 s all the same: one read each half second for each such request, as many as callers send while the store is away, and during the pause after a restore. Change: modules abandoned_claims and shared_lease; only claims that were sent are looked for.

--- a/packages/node/src/kumquathold_node/claims_service.py
+++ b/packages/node/src/kumquathold_node/claims_service.py
@@ -15,6 +15,7 @@
 import datetime
 import queue
 import uuid
+from collections.abc import Callable
 from time import monotonic
 
 import msgspec
@@ -23,6 +24,7 @@
 from kumquathold_core import claims
 from kumquathold_core.claims import Claim, ClaimState
 from kumquathold_core.forwarding import Outcome, Refusal
+from kumquathold_node.abandoned_claims import AbandonedClaims
 from kumquathold_node.claim_writes import (
     ClaimGrantedEvent,
     ClaimRefusedEvent,
@@ -41,10 +43,10 @@
 from kumquathold_node.owner_requests import OwnerRequest
 from kumquathold_node.recent_claims import RecentClaims
 from kumquathold_node.settings import Settings
+from kumquathold_node.shared_lease import SharedLease
 from kumquathold_node.store import (
     ABSENT,
     KeyValueStore,
-    Lease,
     LeaseEnded,
     Revision,
     StoredValue,
@@ -55,7 +57,6 @@
 from kumquathold_node.upstream_calls import CallFailed
 from kumquathold_node.upstream_responses import UpstreamResponse
 
-HOUR_SECONDS = 3600
 MAX_GROUP_SIZE = 48
 """Largest number of writes in one transaction."""
 
@@ -64,13 +65,6 @@
 """Time without calls to the store after it failed."""
 
 TICK_SECONDS = 0.5
-ABANDONED_CLAIM_SECONDS = 30.0
-"""How long the claim of a refused request is looked for, to delete it."""
-
-CLAIM_RETENTION_SECONDS = 7 * 24 * HOUR_SECONDS
-LEASE_REUSE_SECONDS = HOUR_SECONDS
-"""How long new claims share a lease before a new one is granted."""
-
 RESTORE_PAUSE_SECONDS = 6.0
 """Time without new claims after a restore of the store was noticed.
 
@@ -81,16 +75,6 @@
 """Longest time without a call to the store while it may have lost a claim."""
 
 
-class AbandonedClaim(msgspec.Struct, frozen=True):
-    """A claim that may have been written although its request was refused."""
-
-    pending: PendingWrite
-    """The write that may have taken effect."""
-
-    expires_at: float
-    """When to stop looking for it, in seconds of the monotonic clock."""
-
-
 class ClaimsService:
     """Writes the claims of one owner."""
 
@@ -103,16 +87,15 @@
         self.incarnation: int = kernel.find('transport').incarnation
         self.held_claims: dict[str, tuple[Claim, Revision]] = {}
         self.deferred: list[PendingWrite] = []
-        self.abandoned_claims: list[AbandonedClaim] = []
+        self.recent = RecentClaims()
+        self.abandoned = AbandonedClaims(self.store, self.recent)
         self.suspended_until = 0.0
-        self.lease: Lease | None = None
-        self.lease_renewal_at = 0.0
+        self.lease = SharedLease(self.store)
         self.era = self.store.era
         self.paused_until = 0.0
         """End of the time without new claims after a restore."""
         self.called_at = 0.0
         """When the store was last called."""
-        self.recent = RecentClaims()
         self.task = Task(
             'claims',
             {
@@ -160,12 +143,14 @@
     def on_pending_write(self, first: PendingWrite) -> None:
         """Write this and all other waiting writes in one transaction."""
         group = [first, *self._take_waiting()]
+        self._follow_era()
         if monotonic() < self.suspended_until:
             for pending in group:
-                self._give_up(pending)
+                self._put_off(pending)
             return
-        self._follow_era()
-        self._write_group(self._refuse_while_paused(group))
+        if monotonic() < self.paused_until:
+            group = self._split_new_claims(group, self._put_off)
+        self._write_group(group)
 
     def on_tick(self) -> None:
         """Retry deferred writes and delete abandoned claims."""
@@ -177,7 +162,10 @@
         if deferred:
             self._write_group(deferred[:MAX_GROUP_SIZE])
             self.deferred.extend(deferred[MAX_GROUP_SIZE:])
-        self._delete_abandoned_claims()
+        try:
+            self.abandoned.delete_all()
+        except StoreError:
+            self.suspended_until = monotonic() + STORE_BACKOFF_SECONDS
 
     def _follow_era(self) -> None:
         """After a restore, pause new claims and write the recent ones again."""
@@ -202,15 +190,15 @@
             if not pending.is_rewrite or self.recent.is_due(pending, now)
         ]
 
-    def _refuse_while_paused(
-        self, group: list[PendingWrite]
+    def _split_new_claims(
+        self,
+        group: list[PendingWrite],
+        refuse: Callable[[PendingWrite], None],
     ) -> list[PendingWrite]:
-        """Refuse new claims during a pause; return the other writes."""
-        if monotonic() >= self.paused_until:
-            return group
+        """Refuse the new claims of a group; return its other writes."""
         new_claims = [pending for pending in group if pending.is_new_claim]
         for pending in new_claims:
-            self._give_up(pending)
+            refuse(pending)
         return [pending for pending in group if pending not in new_claims]
 
     def _check_for_restore(self) -> None:
@@ -264,13 +252,15 @@
             swap = self._swap(group)
         except LeaseEnded:
             self.metrics.count('claims.lease_ended')
-            self.lease = None
+            self.lease.drop()
             return group
         except StoreError as error:
             logger.warning('claims not written', cause=str(error))
             self.metrics.count('claims.store_unavailable')
             self._follow_era()
-            return self._read_back(self._refuse_while_paused(group))
+            if monotonic() < self.paused_until:
+                group = self._split_new_claims(group, self._give_up)
+            return self._read_back(group)
         self.metrics.count('claims.groups')
         self.metrics.count('claims.writes', len(group))
         if swap.succeeded:
@@ -280,7 +270,7 @@
         return self._reconcile(group, swap.found, swap.revision)
 
     def _swap(self, group: list[PendingWrite]) -> SwapResult:
-        lease = self._get_shared_lease()
+        lease = self.lease.get()
         return self.store.swap(
             [
                 Write(
@@ -297,16 +287,6 @@
             ]
         )
 
-    def _get_shared_lease(self) -> Lease:
-        now = monotonic()
-        lease = self.lease
-        is_kept = lease is not None and lease.era == self.store.era
-        if lease is None or not is_kept or now >= self.lease_renewal_at:
-            lease = self.store.grant_lease(CLAIM_RETENTION_SECONDS)
-            self.lease = lease
-            self.lease_renewal_at = now + LEASE_REUSE_SECONDS
-        return lease
-
     def _read_back(self, group: list[PendingWrite]) -> list[PendingWrite]:
         if not group:
             return []
@@ -393,20 +373,27 @@
             self.deferred.append(pending)
             return
         if pending.result is None:
-            expires_at = monotonic() + ABANDONED_CLAIM_SECONDS
-            self.abandoned_claims.append(AbandonedClaim(pending, expires_at))
-            refused = ClaimRefusedEvent(
-                pending.request,
-                Outcome.not_run,
-                Refusal.store_unavailable,
-            )
-            self._notify_owner(pending, refused)
+            self.abandoned.add(pending)
+            self._refuse(pending)
             return
         self._notify_owner(
             pending, OutcomeStoredEvent(pending.request, pending.result)
         )
         self.deferred.append(pending)
 
+    def _put_off(self, pending: PendingWrite) -> None:
+        """Refuse or defer a write that was not sent to the store."""
+        if pending.is_new_claim:
+            self._refuse(pending)
+        else:
+            self._give_up(pending)
+
+    def _refuse(self, pending: PendingWrite) -> None:
+        refused = ClaimRefusedEvent(
+            pending.request, Outcome.not_run, Refusal.store_unavailable
+        )
+        self._notify_owner(pending, refused)
+
     def _notify_owner(
         self,
         pending: PendingWrite,
@@ -415,36 +402,3 @@
         if not pending.is_reported:
             pending.is_reported = True
             self.kernel.find('owner').task.post(message)
-
-    def _delete_abandoned_claims(self) -> None:
-        now = monotonic()
-        remaining, self.abandoned_claims = self.abandoned_claims, []
-        for number, abandoned in enumerate(remaining):
-            try:
-                is_done = self._try_delete_claim(abandoned)
-            except StoreError:
-                self.suspended_until = monotonic() + STORE_BACKOFF_SECONDS
-                self.abandoned_claims.extend(remaining[number:])
-                return
-            if not is_done and abandoned.expires_at > now:
-                self.abandoned_claims.append(abandoned)
-
-    def _try_delete_claim(self, abandoned: AbandonedClaim) -> bool:
-        """Delete an abandoned claim; return whether it needs no further try.
-
-        A missing key does not suffice, since the write may yet take effect.
-        """
-        pending = abandoned.pending
-        read = self.store.read(pending.key)
-        if not read.found:
-            return False
-        stored = read.found[0]
-        found = claims.decode_claim(stored.value)
-        if found is None or found.claim_id != pending.claim.claim_id:
-            return True
-        write = Write(pending.key, None, stored.mod_revision)
-        is_deleted = self.store.swap([write]).succeeded
-        if is_deleted:
-            deletion = msgspec.structs.replace(pending, is_delete=True)
-            self.recent.record(deletion, monotonic())
-        return is_deleted
