Refuse requests beyond a workspace's rate at once

What callers saw: a workspace that sends three times its rate had all its requests wait 1.27 s at the median before they were refused, and the ones that were served 1.22 s; with ten times the rate a tenth still waited that long. Cause: up to 32 requests waited for a token as long as the next one was due within 0.3 s, which it always is at 20 a second, whatever the number that waited before them. Ruled out: the holders (they report an empty bucket at once). Change: once each holder has granted less than was asked for within a second, a request waits only if its token is expected within half of its time, by its position and the tokens that came lately (token_queue, core). Retry-After is that estimate, at most 1 s.

--- a/packages/node/src/kumquathold_node/rate_client.py
+++ b/packages/node/src/kumquathold_node/rate_client.py
@@ -15,9 +15,10 @@
 
 import msgspec
 
-from kumquathold_core import distribution, token_bucket
+from kumquathold_core import distribution, token_bucket, token_queue
 from kumquathold_core.forwarding import Refusal
 from kumquathold_core.token_cache import HeldGrant, TokenCache
+from kumquathold_core.token_queue import TokenRate
 from kumquathold_core.wire import Envelope
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import Membership
@@ -72,6 +73,9 @@
     holder: str
     """Peer address."""
 
+    wanted: int
+    """Tokens asked for."""
+
     requested_at: float
     """Own monotonic clock, in seconds, when it was sent."""
 
@@ -93,8 +97,8 @@
     """Tokens, waiting requests and holder state of one workspace.
 
     Times are of the own monotonic clock, in seconds: by holder, `blocked_until`
-    is when it may be asked again and `empty_until` when its bucket may have a
-    token. `empty_at` is when a holder last reported an empty bucket.
+    is when it may be asked again, `empty_until` when its bucket may have a
+    token, and `empty_at` when it last granted fewer tokens than were asked for.
     """
 
     __slots__ = (
@@ -102,6 +106,7 @@
         'cache',
         'empty_at',
         'empty_until',
+        'granted',
         'grant_requests',
         'unresponsive_holders',
         'waiters',
@@ -114,7 +119,8 @@
         self.grant_requests: dict[int, PendingGrantRequest] = {}
         self.blocked_until: dict[str, float] = {}
         self.unresponsive_holders: set[str] = set()
-        self.empty_at = -math.inf
+        self.empty_at: dict[str, float] = {}
+        self.granted = TokenRate(now)
         self.empty_until: dict[str, float] = {}
 
 
@@ -168,11 +174,15 @@
         now = monotonic()
         with self.lock:
             tokens = self._get_tokens(command.workspace, now)
-            if len(tokens.waiters) >= MAX_WAITING_REQUESTS:
+            if not self._may_wait(command, tokens, now):
+                position = len(tokens.waiters) + 1
+                retry_after = token_queue.estimate_wait(
+                    position,
+                    tokens.granted.estimate(now),
+                    DEFAULT_RETRY_AFTER_SECONDS,
+                )
                 command.reply.set_result(
-                    TokenRefusal(
-                        Refusal.rate_exceeded, DEFAULT_RETRY_AFTER_SECONDS
-                    ),
+                    TokenRefusal(Refusal.rate_exceeded, retry_after),
                 )
                 return
             waiter = TokenWaiter(command.reply, now + command.timeout)
@@ -180,6 +190,24 @@
             self._serve_waiters(tokens, now)
             self._request_or_refuse(command.workspace, tokens, now)
 
+    def _may_wait(
+        self, command: AcquireCommand, tokens: WorkspaceTokens, now: float
+    ) -> bool:
+        """Whether a request may wait, or is to be refused at once."""
+        position = len(tokens.waiters) + 1
+        if position > MAX_WAITING_REQUESTS:
+            return False
+        holders = self._list_holders(command.workspace)
+        is_short = bool(holders) and all(
+            now - tokens.empty_at.get(holder, -math.inf)
+            <= RECENTLY_EMPTY_SECONDS
+            for holder in holders
+        )
+        rate = tokens.granted.estimate(now)
+        return not is_short or token_queue.may_wait(
+            position, rate, command.timeout
+        )
+
     def on_refill(self, command: RefillCommand) -> None:
         """Prefetch tokens for the next requests."""
         now = monotonic()
@@ -207,6 +235,9 @@
             return
         now = monotonic()
         tokens.unresponsive_holders.discard(envelope.sender)
+        tokens.granted.record(response.tokens, now)
+        if response.is_holder and response.tokens < request.wanted:
+            tokens.empty_at[envelope.sender] = now
         if response.tokens:
             tokens.cache.add(
                 HeldGrant(
@@ -217,7 +248,6 @@
                 ),
             )
         elif response.is_holder:
-            tokens.empty_at = now
             tokens.blocked_until[envelope.sender] = now + response.retry_after
             tokens.empty_until[envelope.sender] = now + response.retry_after
         else:
@@ -323,7 +353,8 @@
         the cause is taken to be that no holder responds.
         """
         while tokens.waiters and tokens.waiters[0].deadline <= now:
-            is_empty = now - tokens.empty_at <= RECENTLY_EMPTY_SECONDS
+            emptied_at = max(tokens.empty_at.values(), default=-math.inf)
+            is_empty = now - emptied_at <= RECENTLY_EMPTY_SECONDS
             reason = Refusal.rate_unavailable
             if is_empty:
                 reason = Refusal.rate_exceeded
@@ -347,7 +378,7 @@
         self.last_number += 1
         reports = tokens.cache.take_reports(name, holder)
         tokens.grant_requests[self.last_number] = PendingGrantRequest(
-            holder, now
+            holder, wanted, now
         )
         self.metrics.count('rates.asked')
         request = distribution.GrantRequest(
