Give each test run a block of ports of its own

Change: a process claims a block of 1,000 ports as long as it runs (ports.py), by holding the first port of it. Measured: test_ports, three processes and the test's own take 200 different ports; test_silent_store and test_silent_links pass.

--- a/packages/standins/src/kumquathold_standins/fleet.py
+++ b/packages/standins/src/kumquathold_standins/fleet.py
@@ -26,11 +26,11 @@
 from kumquathold_standins.fleet_spec import Spec, Vm
 from kumquathold_standins.loopback import (
     call_http,
-    free_port,
     is_open,
     loopback_address,
     wait_until,
 )
+from kumquathold_standins.ports import free_port
 from kumquathold_standins.processes import (
     OPERATOR_SECRET,
     Node,
--- a/packages/standins/src/kumquathold_standins/loopback.py
+++ b/packages/standins/src/kumquathold_standins/loopback.py
@@ -1,9 +1,7 @@
-"""Ports, calls and waits on the loopback interface."""
+"""Calls and waits on the loopback interface."""
 
 from __future__ import annotations
 
-import itertools
-import random
 import socket
 import time
 from collections.abc import Callable
@@ -12,19 +10,9 @@
 
 from kumquathold_cli.client import ClientError
 
-FIRST_PORT = 20_000
-PORT_LIMIT = 32_000
-"""Exclusive."""
-
 START_TIMEOUT_SECONDS = 30.0
 POLL_INTERVAL_SECONDS = 0.05
 
-_first_offset = random.SystemRandom().randrange(PORT_LIMIT - FIRST_PORT)
-_ports = itertools.cycle(
-    FIRST_PORT + (_first_offset + step) % (PORT_LIMIT - FIRST_PORT)
-    for step in range(PORT_LIMIT - FIRST_PORT)
-)
-
 
 class FleetError(Exception):
     """The fleet cannot be started or does not reach a state."""
@@ -72,20 +60,6 @@
     return f'127.0.0.1:{port}'
 
 
-def free_port() -> int:
-    """Find a port on loopback that no process has bound."""
-    for port in _ports:
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-            return port
-    raise FleetError(
-        f'no free port on loopback from {FIRST_PORT} to {PORT_LIMIT - 1}',
-    )
-
-
 def is_open(address: str) -> bool:
     """Check whether a connection to an address succeeds."""
     host, _, port = address.rpartition(':')
--- a/packages/standins/src/kumquathold_standins/measure.py
+++ b/packages/standins/src/kumquathold_standins/measure.py
@@ -32,6 +32,7 @@
     describe_row,
     write_report,
 )
+from kumquathold_standins.ports import free_port
 
 QUICK_LOAD_SECONDS = 6.0
 FULL_LOAD_SECONDS = 8.0
@@ -299,7 +300,7 @@
         rules.write_text(make_rules())
         upstreams = ','.join(one.address for one in fleet.upstreams)
         for number, _ in enumerate(fleet.nodes):
-            address = loopback.loopback_address(loopback.free_port())
+            address = loopback.loopback_address(free_port())
             fleet.spawn(
                 f'naive-{number}',
                 'kumquathold_standins.naive',
--- a/tests/test_reader_threads.py
+++ b/tests/test_reader_threads.py
@@ -21,10 +21,10 @@
 from kumquathold_node.supervision import Supervisor
 from kumquathold_node.transport import Transport
 from kumquathold_standins.loopback import (
-    free_port,
     loopback_address,
     wait_until,
 )
+from kumquathold_standins.ports import free_port
 from tests.site_store import SiteStore, serving_store
 from tests.test_site_platform import (
     PlatformStore,
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -12,10 +12,10 @@
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.metrics import Metrics
 from kumquathold_standins.loopback import (
-    free_port,
     loopback_address,
     wait_until,
 )
+from kumquathold_standins.ports import free_port
 from kumquathold_standins.relay import Link, Relay
 from tests.site_store import SiteStore, serving_store
 from tests.test_site_platform import (
--- a/tests/test_site_node.py
+++ b/tests/test_site_node.py
@@ -23,10 +23,10 @@
 import msgspec
 
 from kumquathold_standins.loopback import (
-    free_port,
     loopback_address,
     wait_until,
 )
+from kumquathold_standins.ports import free_port
 from tests.site_store import SiteStore, serving_store
 from tests.site_target import INSTANCE, SEAL, SiteTarget, serving_target
 from tests.test_site_platform import SECRET, make_config
