Keep rate groups whose new records get no reply

Requests of the workspaces of a group could be refused (rate_unavailable) until the node's restart: the node had no group left, but its record still named it as the holder, so nobody else took it either. Cause: a holder whose lease had ended gave its groups up before it wrote their new records; if the store failed just then, nothing published that it held none. A restored store ends many leases at once, so many nodes pass here at the same moment. Change: groups and lease stay as they are until the store has answered; the next check tries again, within the time that a holder may grant without its lease. Evidence: test_groups_are_kept_if_their_new_records_get_no_reply failed before ({} in place of four groups) and passes now; test_rate_election, test_rate_handover pass.

--- a/packages/node/src/kumquathold_node/rate_election.py
+++ b/packages/node/src/kumquathold_node/rate_election.py
@@ -173,20 +173,34 @@
         membership reports alive, so its buckets remain valid. If it may have
         been reported dead, a successor may have granted meanwhile.
         """
-        stored = self._read_records()
         groups = self.ready_at
         may_have_successor = self._may_have_successor()
         self.metrics.count('rates.lease_lost')
         logger.warning('rate lease ended', groups=sorted(groups))
-        self.lease = None
+        acquired = self._acquire_with_new_lease(sorted(groups))
         self.ready_at = {}
-        for group in self._acquire(sorted(groups), stored):
+        for group in acquired:
             ready_at = groups[group]
             if may_have_successor:
                 ready_at = _find_start(read_boot_clock())
             self.ready_at[group] = ready_at
         self._publish()
 
+    def _acquire_with_new_lease(self, groups: list[int]) -> list[int]:
+        """Write records of groups with a new lease; return those acquired.
+
+        If the store fails, the next check finds the lease ended and tries
+        again.
+        """
+        stored = self._read_records()
+        ended, kept_alive_at = self.lease, self.kept_alive_at
+        self.lease = None
+        try:
+            return self._acquire(groups, stored)
+        except StoreError:
+            self.lease, self.kept_alive_at = ended, kept_alive_at
+            raise
+
     def _is_store_failing(self) -> bool:
         """Whether a call to the store has failed since the last renewal."""
         return self.store_failed_at > self.kept_alive_at
--- a/tests/test_rate_election.py
+++ b/tests/test_rate_election.py
@@ -259,6 +259,16 @@
         election.check()
         self.assertEqual(election.ready_at, {})
 
+    def test_groups_are_kept_if_their_new_records_get_no_reply(self) -> None:
+        election = self.make_holder_past_its_lease()
+        ready_at = dict(election.ready_at)
+        self.store.is_unreachable = False
+        self.store.remaining_seconds = 0.0
+        self.store.drops_next_reply = True
+        election.check()
+        election.check()
+        self.assertEqual(election.ready_at, ready_at)
+
     def test_draining_node_takes_no_group(self) -> None:
         election = self.make_election(incarnation=5, leaving=True)
         election.started_at = 0.0
