Notice a restore by the revisions of writes as well

Cause: a store that gives no sign of its history, or one that a proxy strips of its headers, was noticed to be restored only by what was missing. The default reader ignored its reads until the revisions had caught up, as before. Change: the revision of a write that took effect never falls within a history, so one that is lower than what was known when it was sent ends the era. A reader that reads a lower revision than before writes a probe key, which tells a restored store from a read that was answered from the past.

--- a/packages/core/src/kumquathold_core/store_eras.py
+++ b/packages/core/src/kumquathold_core/store_eras.py
@@ -14,12 +14,18 @@
 class HistorySign(msgspec.Struct, frozen=True):
     """What one response of the store tells of the history that it is from."""
 
-    history: str
-    """Identifies the history; a restored store usually has another one."""
+    history: str = ''
+    """Identifies the history, if reported; a restored store has another one."""
 
     term: int = 0
     """Number that never falls within a history; 0 if not reported."""
 
+    written: int = 0
+    """Revision of a write, which never falls either; 0 for other calls.
+
+    That of a read says nothing: a read may be answered from the past.
+    """
+
 
 class CallStart(msgspec.Struct, frozen=True):
     """What was known of the store when a call to it began."""
@@ -64,17 +70,27 @@
             return False
         if seen is None:
             return True
-        known = start.sign or self.sign
-        if known is not None and is_restored(known, seen):
+        latest = self.sign or seen
+        known = start.sign or HistorySign(latest.history)
+        if is_restored(known, seen):
             self.era += 1
             self.sign = seen
             return False
-        latest = seen.term if self.sign is None else self.sign.term
-        self.sign = HistorySign(seen.history, max(latest, seen.term))
+        self.sign = _merge(latest, seen)
         return True
 
 
 def is_restored(known: HistorySign, seen: HistorySign) -> bool:
     """Whether the store was restored between an earlier and a later sign."""
-    has_fallen = 0 < seen.term < known.term
-    return seen.history != known.history or has_fallen
+    is_other = bool(known.history) and seen.history not in ('', known.history)
+    has_term_fallen = 0 < seen.term < known.term
+    has_revision_fallen = 0 < seen.written < known.written
+    return is_other or has_term_fallen or has_revision_fallen
+
+
+def _merge(known: HistorySign, seen: HistorySign) -> HistorySign:
+    return HistorySign(
+        history=seen.history or known.history,
+        term=max(known.term, seen.term),
+        written=max(known.written, seen.written),
+    )
--- a/packages/core/src/kumquathold_core/store_keys.py
+++ b/packages/core/src/kumquathold_core/store_keys.py
@@ -4,6 +4,9 @@
 
 ROOT_PREFIX = 'kumquathold/'
 SEEDS_KEY = f'{ROOT_PREFIX}seeds'
+PROBE_KEY = f'{ROOT_PREFIX}probe'
+"""Written to learn the store's present revision; has no value."""
+
 MANIFEST_KEY = f'{ROOT_PREFIX}config/manifest'
 HISTORY_PREFIX = f'{ROOT_PREFIX}config/history/'
 
--- a/packages/node/src/kumquathold_node/configuration_reader.py
+++ b/packages/node/src/kumquathold_node/configuration_reader.py
@@ -32,6 +32,7 @@
     StoredValue,
     StoreError,
     StoreRestored,
+    Write,
 )
 
 POLL_SECONDS = 1.0
@@ -127,6 +128,7 @@
         reading = self.store.read(store_keys.MANIFEST_KEY)
         if reading.revision < self.revision:
             self.metrics.count('configuration.older_revision')
+            self._check_for_restore()
             return
         self.revision = reading.revision
         stored = reading.found[0] if reading.found else None
@@ -140,6 +142,14 @@
         elif manifest is not None:
             self._take(stored, manifest, step)
 
+    def _check_for_restore(self) -> None:
+        """Raise `StoreRestored` if revisions went back for writes as well.
+
+        A read with a lower revision may also have been answered from the past.
+        """
+        probe = Write(store_keys.PROBE_KEY, b'', expected_revision=None)
+        self.store.swap([probe])
+
     def _put_back(
         self, stored: StoredValue | None, current: Configuration
     ) -> None:
--- a/packages/node/src/kumquathold_node/etcd_store.py
+++ b/packages/node/src/kumquathold_node/etcd_store.py
@@ -95,6 +95,7 @@
         response = self._call(start, '/v3/kv/txn', request, etcd.TxnResponse)
         revision = int(response.header.revision)
         if response.succeeded:
+            self.eras.end_write(start, revision)
             return SwapResult(
                 succeeded=True, revision=Revision(start.era, revision), found=()
             )
--- a/packages/node/src/kumquathold_node/store_eras.py
+++ b/packages/node/src/kumquathold_node/store_eras.py
@@ -43,6 +43,14 @@
         if not is_current:
             raise StoreRestored(f'before: {start.sign}, now: {seen}')
 
+    def end_write(self, start: CallStart, revision: int) -> None:
+        """Take the revision of a write that took effect.
+
+        Raises `StoreRestored` if one that began later than an earlier write
+        has a lower revision.
+        """
+        self.end_call(start, HistorySign(written=revision))
+
     def _report_restore(
         self, start: CallStart, seen: HistorySign | None
     ) -> None:
--- a/tests/site_store.py
+++ b/tests/site_store.py
@@ -56,7 +56,8 @@
         self.responses_to_lose = 0
         self.refuse_status = 0
         self.page_size = 500
-        self.era = 1
+        self.era: int | str = 1
+        """The header by which the store tells its restores; empty for none."""
 
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
         """Write an item, as an operator does."""
@@ -84,7 +85,8 @@
             self.events = list(kept.events)
             self.revision = kept.revision
             self.leases = dict(kept.leases)
-            self.era += 1
+            if isinstance(self.era, int):
+                self.era += 1
 
     def end_lease(self, lease: int) -> None:
         """End a lease, and delete its items."""
--- a/tests/test_manifest_steps.py
+++ b/tests/test_manifest_steps.py
@@ -5,6 +5,7 @@
 import unittest
 from types import SimpleNamespace
 from typing import Any
+from unittest import mock
 
 from kumquathold_core import manifest as manifests
 from kumquathold_core import rules_file
@@ -18,7 +19,7 @@
 from kumquathold_node.configuration_reader import ConfigurationReader
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.metrics import Metrics
-from kumquathold_node.store import ABSENT, Revision
+from kumquathold_node.store import ABSENT, Revision, Write
 from tests.site_store import SiteStore, serving_store
 from tests.support import ASKED, make_rules
 from tests.test_site_platform import PlatformStore
@@ -83,7 +84,8 @@
     """The steps of a reader beside a store."""
 
     def setUp(self) -> None:
-        address = self.enterContext(serving_store(SiteStore()))
+        self.site = SiteStore()
+        address = self.enterContext(serving_store(self.site))
         self.store = PlatformStore(address, Metrics(None))
         self.own = make_configuration(VERSION, 'own')
         self.found: list[Configuration] = []
@@ -155,6 +157,37 @@
         self.reader._put_back(old, self.own)
         self.assertEqual(self.read_stored(), newer)
 
+    def test_reader_follows_a_store_that_does_not_say_it_was_restored(
+        self,
+    ) -> None:
+        self.site.era = ''
+        self.accept(make_configuration(VERSION - 1, 'older'))
+        kept = self.site.make_copy()
+        self.reader.poll()
+        for _ in range(5):
+            self.store.swap([Write('other', b'x', None)])
+        self.reader.poll()
+        self.proofs.clear()
+        self.site.restore(kept)
+        for _ in range(4):
+            self.reader.poll()
+        self.assertEqual(self.read_stored(), self.own)
+        self.assertEqual(self.proofs[-1:], [VERSION])
+
+    def test_reader_ignores_reads_from_the_past(self) -> None:
+        self.accept(self.own)
+        kept = self.site.make_copy()
+        self.store.swap([Write('other', b'x', None)])
+        self.reader.poll()
+        self.proofs.clear()
+        past = SiteStore()
+        past.restore(kept)
+        with mock.patch.object(self.site, 'on_key', past.on_key):
+            for _ in range(3):
+                self.reader.poll()
+        self.assertEqual(self.proofs, [])
+        self.assertEqual(self.store.era, 0)
+
     def test_manifest_without_its_text_ends_no_poll(self) -> None:
         manifest = make_manifest(make_configuration(VERSION + 1, 'lost'))
         manifest_store.swap_manifest(self.store, manifest, ABSENT)
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -9,7 +9,12 @@
 from kumquathold_core.store_eras import EraTracker, HistorySign
 from kumquathold_node.etcd_store import EtcdStore
 from kumquathold_node.metrics import Metrics
-from kumquathold_node.store import KeyValueStore, StoreError
+from kumquathold_node.store import (
+    KeyValueStore,
+    StoreError,
+    StoreRestored,
+    Write,
+)
 from kumquathold_standins.platform import PlatformHandler, Store
 from tests.loopback import serving
 from tests.site_store import SiteStore, serving_store
@@ -53,6 +58,23 @@
         self.assertTrue(self.see(CLUSTER))
         self.assertFalse(self.see(CLUSTER, 8))
 
+    def test_revision_of_a_write_that_falls_begins_an_era(self) -> None:
+        for revision in (5, 9, 9):
+            start = self.tracker.start_call()
+            written = HistorySign(written=revision)
+            self.assertTrue(self.tracker.end_call(start, written))
+        start = self.tracker.start_call()
+        self.assertFalse(self.tracker.end_call(start, HistorySign(written=7)))
+        self.assertEqual(self.tracker.era, 1)
+
+    def test_writes_whose_responses_overtake_each_other_begin_none(
+        self,
+    ) -> None:
+        first = self.tracker.start_call()
+        second = self.tracker.start_call()
+        self.assertTrue(self.tracker.end_call(second, HistorySign(written=9)))
+        self.assertTrue(self.tracker.end_call(first, HistorySign(written=8)))
+
     def test_late_response_of_an_earlier_era_begins_none(self) -> None:
         self.see('1')
         late = self.tracker.start_call()
@@ -102,6 +124,20 @@
             with mock.patch.object(store, 'era', era):
                 self.assertEqual(self.count_restores(client, metrics), 0, era)
 
+    def test_store_without_signs_says_it_by_its_writes(self) -> None:
+        store = SiteStore()
+        store.era = ''
+        address = self.enterContext(serving_store(store))
+        client = PlatformStore(address, Metrics(None))
+        kept = store.make_copy()
+        for _ in range(2):
+            client.swap([Write('a', b'1', None)])
+        self.assertEqual(client.era, 0)
+        store.restore(kept)
+        with self.assertRaises(StoreRestored):
+            client.swap([Write('a', b'2', None)])
+        self.assertEqual(client.era, 1)
+
     def test_default_store_says_it_by_its_term(self) -> None:
         store = Store()
         handler = type('Handler', (PlatformHandler,), {'store': store})
