Tell the story of a request from the logs of its nodes

Change: kumquathold trace collects the lines about a request and what explains them, moves the lines of a node whose clock is off between the lines that must surround them, and names the cause. The module reads texts and has no I/O.

--- a/packages/cli/src/kumquathold_cli/main.py
+++ b/packages/cli/src/kumquathold_cli/main.py
@@ -11,12 +11,13 @@
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
+from itertools import chain
 from pathlib import Path
-from typing import Any
+from typing import Any, TextIO
 
 import click
 
-from kumquathold_cli import changes, keys
+from kumquathold_cli import changes, keys, request_trace
 from kumquathold_cli.client import Client, ClientError
 from kumquathold_core import rules_file
 from kumquathold_core.rules_file import RulesErrors
@@ -28,6 +29,14 @@
 EXIT_OUTCOME_UNKNOWN = 5
 EXIT_ROLLOUT_INCOMPLETE = 6
 
+FAILURES = (
+    ClientError,
+    changes.ChangeError,
+    keys.KeyEditError,
+    request_trace.TraceError,
+)
+"""Errors that end a command with `EXIT_FAILED`."""
+
 
 @contextmanager
 def report_errors() -> Iterator[None]:
@@ -45,7 +54,7 @@
     except changes.OutcomeUnknown as error:
         click.echo(f'outcome unknown: {error}; check `history`', err=True)
         sys.exit(EXIT_OUTCOME_UNKNOWN)
-    except (ClientError, changes.ChangeError, keys.KeyEditError) as error:
+    except FAILURES as error:
         click.echo(f'{type(error).__name__}: {error}', err=True)
         sys.exit(EXIT_FAILED)
 
@@ -325,6 +334,24 @@
     _show(content, as_json=False)
 
 
+@main.command()
+@click.argument('request')
+@click.argument('logs', nargs=-1, type=click.File(errors='replace'))
+def trace(request: str, logs: tuple[TextIO, ...]) -> None:
+    """Tell the story of a request from the LOGS of nodes.
+
+    Give the logs of all nodes that may have handled it, as files, or `-` for
+    standard input, which is also read if none is given.
+    """
+    texts = chain.from_iterable(logs or (sys.stdin,))
+    with report_errors():
+        found = request_trace.trace_request(
+            request_trace.parse_lines(texts), request
+        )
+    for line in request_trace.format_trace(found):
+        click.echo(line)
+
+
 @main.command()
 @click.pass_context
 def drain(context: click.Context) -> None:
