Split the parser of rules files by job

Names that modules share lose their underscore; nothing else changes. Measured: test_rules_file, test_command_line: 22 passed.

--- a/packages/cli/src/kumquathold_cli/main.py
+++ b/packages/cli/src/kumquathold_cli/main.py
@@ -19,8 +19,8 @@
 
 from kumquathold_cli import changes, keys, request_trace
 from kumquathold_cli.client import Client, ClientError
-from kumquathold_core import rules_file
-from kumquathold_core.rules_file import RulesErrors
+from kumquathold_core import rules_errors, rules_file
+from kumquathold_core.rules_errors import RulesErrors
 from kumquathold_core.wire import SECRET_MAX_BYTES
 
 EXIT_FAILED = 1
@@ -130,12 +130,12 @@
                         'error': error.problem,
                         'instead': error.suggestion,
                     }
-                    for error in rules_file.list_errors(errors)
+                    for error in rules_errors.list_errors(errors)
                 ]
             )
         )
         return
-    for error in rules_file.list_errors(errors):
+    for error in rules_errors.list_errors(errors):
         click.echo(f'{path}:{error}', err=True)
 
 
--- a/packages/node/src/kumquathold_node/administration.py
+++ b/packages/node/src/kumquathold_node/administration.py
@@ -18,7 +18,7 @@
 
 from kumquathold_core import operator_auth, routing
 from kumquathold_core.operator_auth import SignatureVerifier, SignedCall
-from kumquathold_core.rules_file import RulesErrors, list_errors
+from kumquathold_core.rules_errors import RulesErrors, list_errors
 from kumquathold_node import acceptance, claim_resolution
 from kumquathold_node.balancer import Balancer
 from kumquathold_node.caller_server import RequestGate
--- a/tests/test_rules_file.py
+++ b/tests/test_rules_file.py
@@ -8,9 +8,10 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from kumquathold_core import manifest, rules_file
+from kumquathold_core import manifest, rules_errors, rules_file
 from kumquathold_core.rules import StalePolicy, ZoneScope, authenticate_key
-from kumquathold_core.rules_file import RuleError, RulesErrors, parse_rules
+from kumquathold_core.rules_errors import RuleError, RulesErrors
+from kumquathold_core.rules_file import parse_rules
 from tests.properties import repeatable
 from tests.support import KEYS, make_rules
 
@@ -62,7 +63,7 @@
     try:
         parse_rules(text)
     except RulesErrors as errors:
-        return rules_file.list_errors(errors)
+        return rules_errors.list_errors(errors)
     return []
 
 
