--- a/review/fleet.py
+++ b/review/fleet.py
@@ -15,6 +15,7 @@
 import random
 import re
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -540,6 +541,7 @@
             if node.process is not None and node.process.poll() is None:
                 node.process.kill()
                 node.process.wait()
+        shutil.rmtree(self.directory, ignore_errors=True)
 
 
 def _find_free_network() -> str:
@@ -597,6 +599,7 @@
 
 def play(case, folder: str, zones: dict[str, str]) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, else 2."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
     record = Record(Path(folder) / 'record.txt')
     record.write(f'case     trouble {"on" if TROUBLE else "off"}')
     status = CANNOT_RUN
@@ -612,4 +615,5 @@
     finally:
         if fleet is not None:
             fleet.end()
-    os._exit(status)
+        # Threads of the stand-ins may still wait, and are not joined.
+        os._exit(status)
