Keep in the store which upstreams have left

What callers saw: a server deregistered and was acknowledged, all nodes were killed, and a heartbeat that it had sent before came 5 s later. All nodes then sent it requests (24 in the 5 s after it); those that it still ran as it exited were lost.

Cause: only memory held the departure, in AnnouncementTracker of the owner and DepartureTable of its peers. A loss of all nodes ends both, and `admit` takes any first announcement of a name.

It waits 0.15 s for the store at most, so an acknowledgement doesn't depend on it, and goes on writing until the store has it; a restored store gets it again. A node reads its keys at the start. While they are unread, or if the first announcement of a process older than the node comes later than a running process would have sent it, the process has to announce itself steadily for three intervals: that holds too where the store was away at the acknowledgement. Peers that know the process to run confirm it.

Why it works: the write needs no condition and is idempotent, so a late or repeated one does no harm; the next process has a later start, which no record of an earlier one shuts out.

The handlers of announcements leave owner.py for a module of their own. New lines: `departure recorded`, `departures not recorded`, `departures read`, `announcement unconfirmed`.

--- a/packages/core/src/kumquathold_core/announcement_tracker.py
+++ b/packages/core/src/kumquathold_core/announcement_tracker.py
@@ -86,18 +86,25 @@
         return True
 
     def record_deregistration(self, name: str, lifetime: int) -> None:
-        """Record that an upstream has deregistered.
+        """Record that a process of an upstream has deregistered.
 
-        A `lifetime` of 0 stands for the current one.
+        A `lifetime` of 0 stands for the current one. A later one than the
+        known shows a process that has left before it was heard of.
         """
         known = self.latest.get(name)
-        if known is None:
+        if known is None or lifetime > known.stamp.lifetime:
             self.latest[name] = LastAnnouncement(
                 AnnouncementStamp(lifetime), has_left=True
             )
+            self._evict_oldest()
         elif lifetime in {0, known.stamp.lifetime}:
             known.has_left = True
 
+    def find_lifetime(self, name: str) -> int:
+        """Return the start of the latest process that is known, 0 for none."""
+        known = self.latest.get(name)
+        return known.stamp.lifetime if known else 0
+
     def _evict_oldest(self) -> None:
         while len(self.latest) > MAX_TRACKED_UPSTREAMS:
             self.latest.pop(next(iter(self.latest)))
--- a/packages/core/src/kumquathold_core/departures.py
+++ b/packages/core/src/kumquathold_core/departures.py
@@ -9,11 +9,22 @@
 
 import msgspec
 
+from kumquathold_core.decoding import Count, Name
 from kumquathold_core.identity import NodeRecord, UpstreamRecord
 
 MAX_TRACKED_UPSTREAMS = 32_768
 
 
+class Departure(msgspec.Struct, frozen=True):
+    """A process of an upstream that has left, as the store holds it."""
+
+    name: Name
+    """Name of the upstream."""
+
+    lifetime: Count
+    """Start of its process in Unix milliseconds."""
+
+
 def list_leaving(record: NodeRecord) -> list[UpstreamRecord]:
     """List the upstreams of a node whose process is known to leave for good.
 
--- a/packages/core/src/kumquathold_core/store_keys.py
+++ b/packages/core/src/kumquathold_core/store_keys.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import hashlib
+
 ROOT_PREFIX = 'kumquathold/'
+DEPARTURE_DIGEST_BYTES = 16
 SEEDS_KEY = f'{ROOT_PREFIX}seeds'
 PROBE_KEY = f'{ROOT_PREFIX}probe'
 """Written to learn the store's present revision; has no value."""
@@ -44,3 +47,15 @@
 def claim_key(workspace: str, digest: str) -> str:
     """Return the key of one once-only claim."""
     return f'{claim_prefix(workspace)}{digest}'
+
+
+def departure_prefix(owner: str) -> str:
+    """Return the prefix of the departures beside the node at an address."""
+    return f'{ROOT_PREFIX}left/{owner}/'
+
+
+def departure_key(owner: str, name: str, lifetime: int) -> str:
+    """Return the key of the departure of one process of an upstream."""
+    text = f'{name} {lifetime}'
+    digest = hashlib.blake2b(text.encode(), digest_size=DEPARTURE_DIGEST_BYTES)
+    return f'{departure_prefix(owner)}{digest.hexdigest()}'
--- a/packages/node/src/kumquathold_node/announcements.py
+++ b/packages/node/src/kumquathold_node/announcements.py
@@ -29,6 +29,9 @@
 
 ANNOUNCEMENT_LIFETIME_SECONDS = 5.0
 OWNER_TIMEOUT_SECONDS = 2.0
+DEPARTURE_TIMEOUT_SECONDS = 0.15
+"""Time that the store gets before a leaving is acknowledged without it."""
+
 MAX_ANNOUNCEMENT_BYTES = 4096
 MAX_SLOTS = 10_000
 
@@ -90,6 +93,9 @@
     stamp: AnnouncementStamp = AnnouncementStamp()
     """Position in the order of the upstream's announcements."""
 
+    interval: float = ANNOUNCEMENT_LIFETIME_SECONDS
+    """Longest time between two announcements of a running process, seconds."""
+
 
 class DeregisteredEvent(msgspec.Struct, frozen=True):
     """An upstream deregistered, since it has stopped or is about to."""
@@ -164,6 +170,8 @@
     kernel.find('owner').task.post(announced)
     try:
         running, waiting = reply.result(OWNER_TIMEOUT_SECONDS)
+        if record.leaving:
+            await_departure(kernel, record.name)
     except FutureTimeout:
         return _respond(start_response, '503 Service Unavailable', b'{}')
     body = msgspec.json.encode(
@@ -172,6 +180,16 @@
     return _respond(start_response, '200 OK', body)
 
 
+def await_departure(kernel: Kernel, name: str) -> None:
+    """Wait a moment until the store holds that an upstream leaves.
+
+    The acknowledgement does not depend on it, as the store may be away.
+    """
+    kernel.find('departure-records').await_written(
+        name, DEPARTURE_TIMEOUT_SECONDS
+    )
+
+
 def _respond(
     start_response: StartResponse,
     status: str,
--- a/packages/node/src/kumquathold_node/claims_service.py
+++ b/packages/node/src/kumquathold_node/claims_service.py
@@ -71,6 +71,13 @@
 All nodes notice it within that time, and write again what it has lost.
 """
 
+HOUR_SECONDS = 3600
+RETENTION_SECONDS = 7 * 24 * HOUR_SECONDS
+"""Time after which the store deletes a claim."""
+
+LEASE_REUSE_SECONDS = HOUR_SECONDS
+"""How long new claims share a lease."""
+
 MAX_SILENCE_SECONDS = 2.0
 """Longest time without a call to the store while it may have lost a claim."""
 
@@ -90,7 +97,9 @@
         self.recent = RecentClaims()
         self.abandoned = AbandonedClaims(self.store, self.recent)
         self.suspended_until = 0.0
-        self.lease = SharedLease(self.store)
+        self.lease = SharedLease(
+            self.store, retention=RETENTION_SECONDS, reuse=LEASE_REUSE_SECONDS
+        )
         self.era = self.store.era
         self.paused_until = 0.0
         """End of the time without new claims after a restore."""
--- a/packages/node/src/kumquathold_node/composition.py
+++ b/packages/node/src/kumquathold_node/composition.py
@@ -8,6 +8,7 @@
 from kumquathold_node.caller_server import RequestGate
 from kumquathold_node.claims_service import ClaimsService
 from kumquathold_node.configuration import ConfigurationService
+from kumquathold_node.departure_records import DepartureRecords
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.ingress import Ingress
 from kumquathold_node.kernel import Kernel
@@ -72,6 +73,7 @@
     kernel.register('call-failures', CallFailures())
     PendingRequests(kernel)
     ClaimsService(kernel, settings)
+    DepartureRecords(kernel, settings)
     Owner(kernel, adapter.upstream_dialect, settings)
     RateHolder(kernel, settings)
     RateElection(kernel, settings)
--- a/packages/node/src/kumquathold_node/main.py
+++ b/packages/node/src/kumquathold_node/main.py
@@ -25,6 +25,7 @@
 from kumquathold_node.composition import assemble
 from kumquathold_node.health import make_health_app
 from kumquathold_node.http_server import serving
+from kumquathold_node.membership_messages import ListeningEvent
 from kumquathold_node.metrics import make_metrics_app
 from kumquathold_node.seeds import Seeds
 from kumquathold_node.settings import Settings
@@ -36,6 +37,9 @@
 EXIT_ADDRESS_IN_USE = 3
 ADMIN_THREADS = 4
 ANNOUNCE_THREADS = 4
+DEPARTURES_TIMEOUT_SECONDS = 1.0
+"""Time that a start waits for the departures that the store holds."""
+
 THREAD_SWITCH_SECONDS = 0.0002
 """Switch interval of the interpreter's threads, 5 ms by default."""
 
@@ -53,6 +57,9 @@
     with ExitStack() as stack:
         stack.enter_context(transport.listening())
         stack.enter_context(kernel.running())
+        kernel.find('departure-records').read_at_start(
+            DEPARTURES_TIMEOUT_SECONDS
+        )
         apps = [
             (adapter.make_announcement_app(kernel), settings.announce),
             (make_health_app(kernel, adapter.caller_dialect), settings.health),
@@ -61,6 +68,7 @@
         for app, address in apps:
             if address:
                 stack.enter_context(serving(app, address, ANNOUNCE_THREADS))
+        kernel.find('owner').task.post(ListeningEvent())
         stack.enter_context(
             serving(
                 make_administration_app(kernel, settings),
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -33,6 +33,7 @@
     PingCommand,
     ReadClockCommand,
     UpstreamsChangedEvent,
+    UpstreamsRecalledEvent,
     WatchPeersCommand,
 )
 from kumquathold_node.settings import Settings
@@ -414,7 +415,7 @@
         now = monotonic()
         for update in updates:
             if update.record.address == self.table.own.address:
-                self._learn_departures(update.record)
+                self._learn_from_earlier_process(update.record)
             elif self.table.is_restart(update.record):
                 _report_started(self.kernel, update.record.address)
             self.table.merge(update, now)
@@ -424,8 +425,8 @@
             self.transport.incarnation = incarnation
         self._refresh_view()
 
-    def _learn_departures(self, record: NodeRecord) -> None:
-        """Tell the owner which of its upstreams a peer knows to have left."""
+    def _learn_from_earlier_process(self, record: NodeRecord) -> None:
+        """Tell the owner which upstreams had left, and which were in use."""
         known = departures.list_leaving(self.table.own)
         left = [
             one for one in departures.list_leaving(record) if one not in known
@@ -433,6 +434,9 @@
         if left:
             event = DeparturesLearnedEvent(tuple(left))
             self.kernel.find('owner').task.post(event)
+        used = tuple(one for one in record.upstreams if not one.leaving)
+        if used and record.incarnation < self.table.own.incarnation:
+            self.kernel.find('owner').task.post(UpstreamsRecalledEvent(used))
 
     def _gossip_now(self) -> None:
         self._refresh_view()
--- a/packages/node/src/kumquathold_node/membership_messages.py
+++ b/packages/node/src/kumquathold_node/membership_messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from kumquathold_core.departures import Departure
 from kumquathold_core.identity import UpstreamRecord
 from kumquathold_core.peer_clock import PeerClockReading
 
@@ -34,6 +35,24 @@
     """These upstreams."""
 
 
+class DeparturesReadEvent(msgspec.Struct, frozen=True):
+    """The departures that earlier processes of this node recorded are read."""
+
+    departures: tuple[Departure, ...]
+    """These departures."""
+
+
+class UpstreamsRecalledEvent(msgspec.Struct, frozen=True):
+    """A peer knows of upstreams that an earlier process of this node used."""
+
+    upstreams: tuple[UpstreamRecord, ...]
+    """Those that had not left."""
+
+
+class ListeningEvent(msgspec.Struct, frozen=True):
+    """Upstreams can announce themselves to this node from now on."""
+
+
 class PeerStartedEvent(msgspec.Struct, frozen=True):
     """A peer has started: it may lack what its earlier process knew.
 
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -26,17 +26,14 @@
     owner_replies,
     owner_statements,
 )
-from kumquathold_node.announcements import AnnouncedEvent, DeregisteredEvent
 from kumquathold_node.configuration import ConfigurationService
 from kumquathold_node.crash_reports import CrashReports
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.membership import Membership
-from kumquathold_node.membership_messages import (
-    DeparturesLearnedEvent,
-    PeerStartedEvent,
-)
+from kumquathold_node.membership_messages import PeerStartedEvent
 from kumquathold_node.metrics import Metrics
+from kumquathold_node.owner_announcements import OwnerAnnouncements
 from kumquathold_node.owner_calls import (
     CallBrokenEvent,
     CallFailedEvent,
@@ -101,6 +98,9 @@
             self._refuse_queued,
         )
         self.upstreams = self.roster.upstreams
+        self.announcements = OwnerAnnouncements(
+            self.roster, self._refuse_queued, self._start_queued
+        )
         self.requests: dict[RequestId, OwnerRequest] = {}
         self.crash_reports = CrashReports(kernel)
         self.drain_end_at = math.inf
@@ -126,9 +126,7 @@
                 CallSucceededEvent: self.on_call_succeeded,
                 CallBrokenEvent: self.on_call_broken,
                 CallFailedEvent: self.on_call_failed,
-                AnnouncedEvent: self.on_announced,
-                DeregisteredEvent: self.on_deregistered,
-                DeparturesLearnedEvent: self.on_departures_learned,
+                **self.announcements.make_handlers(),
                 DrainCommand: self.on_drain,
             },
             tick=self.on_tick,
@@ -260,33 +258,6 @@
             request.is_cancelled = True
             self.metrics.count('owner.cancelled.running')
 
-    def on_announced(self, announced: AnnouncedEvent) -> None:
-        """Update an upstream from its announcement, and reply with its load."""
-        upstream = self.roster.announce(announced)
-        if upstream is None:
-            announced.reply.set_result((0, 0))
-            return
-        if upstream.record.leaving:
-            self._refuse_queued(upstream)
-        self._start_queued(upstream)
-        announced.reply.set_result(
-            (upstream.in_use, upstream.queue.size),
-        )
-
-    def on_deregistered(self, deregistered: DeregisteredEvent) -> None:
-        """Start no further requests on an upstream; running ones continue."""
-        upstream = self.roster.deregister(deregistered)
-        in_use = 0
-        if upstream is not None:
-            in_use = upstream.in_use
-            self._refuse_queued(upstream)
-        deregistered.reply.set_result((in_use, 0))
-
-    def on_departures_learned(self, event: DeparturesLearnedEvent) -> None:
-        """Learn which upstreams had left before this process started."""
-        for upstream in self.roster.record_departures(event.upstreams):
-            self._refuse_queued(upstream)
-
     def _refuse_queued(self, upstream: Upstream) -> None:
         self._return_queued(
             upstream, upstream.queue.items(), Refusal.upstream_leaving
--- a/packages/node/src/kumquathold_node/shared_lease.py
+++ b/packages/node/src/kumquathold_node/shared_lease.py
@@ -1,6 +1,6 @@
-"""The lease that the claims of one hour share.
+"""A lease that the keys written within a while share.
 
-Claims expire with it, so the store deletes them without a call for each.
+They expire with it, so the store deletes them without a call for each.
 """
 
 from __future__ import annotations
@@ -9,20 +9,21 @@
 
 from kumquathold_node.store import KeyValueStore, Lease
 
-HOUR_SECONDS = 3600
-RETENTION_SECONDS = 7 * 24 * HOUR_SECONDS
-"""Time after which the store deletes the claims of a lease."""
-
-REUSE_SECONDS = HOUR_SECONDS
-"""How long new claims share a lease before a new one is granted."""
-
 
 class SharedLease:
     """Grants a lease when one is needed."""
 
-    def __init__(self, store: KeyValueStore) -> None:
-        """Start without a lease."""
+    def __init__(
+        self, store: KeyValueStore, *, retention: float, reuse: float
+    ) -> None:
+        """Start without a lease.
+
+        `retention` is the time in seconds after which the store deletes the
+        keys, `reuse` that after which new keys get another lease.
+        """
         self.store = store
+        self.retention = retention
+        self.reuse = reuse
         self.lease: Lease | None = None
         self.renewal_at = 0.0
         """When a new one is granted, in seconds of the monotonic clock."""
@@ -33,9 +34,9 @@
         lease = self.lease
         is_kept = lease is not None and lease.era == self.store.era
         if lease is None or not is_kept or now >= self.renewal_at:
-            lease = self.store.grant_lease(RETENTION_SECONDS)
+            lease = self.store.grant_lease(self.retention)
             self.lease = lease
-            self.renewal_at = now + REUSE_SECONDS
+            self.renewal_at = now + self.reuse
         return lease
 
     def drop(self) -> None:
--- a/packages/node/src/kumquathold_node/upstream_roster.py
+++ b/packages/node/src/kumquathold_node/upstream_roster.py
@@ -7,14 +7,20 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from time import monotonic
+from time import monotonic, time
 
 import msgspec
 from loguru import logger
 
-from kumquathold_core.announcement_tracker import AnnouncementTracker
+from kumquathold_core.announcement_tracker import (
+    MILLISECONDS_PER_SECOND,
+    AnnouncementTracker,
+)
+from kumquathold_core.departures import Departure
+from kumquathold_core.first_announcements import FirstAnnouncements
 from kumquathold_core.identity import UpstreamRecord
 from kumquathold_node.announcements import AnnouncedEvent, DeregisteredEvent
+from kumquathold_node.departure_records import DepartureRecords
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership import Membership
@@ -46,7 +52,13 @@
         self.dialect = dialect
         self.refuse_waiting = refuse_waiting
         self.response_memory = ResponseMemory()
+        self.departure_records: DepartureRecords = kernel.find(
+            'departure-records'
+        )
         self.announcement_tracker = AnnouncementTracker()
+        self.first_announcements = FirstAnnouncements(
+            _read_unix_milliseconds(), monotonic()
+        )
         self.upstreams: dict[str, Upstream] = {}
 
     def announce(self, announced: AnnouncedEvent) -> Upstream | None:
@@ -64,6 +76,10 @@
         if not is_current:
             self.metrics.count('owner.announcements_late')
             return None
+        if record.leaving:
+            self.departure_records.record(record.name, record.lifetime)
+        elif not self._may_use(announced):
+            record = msgspec.structs.replace(record, ready=False)
         for predecessor in find_predecessors(self.upstreams, record):
             self.remove(predecessor)
         upstream = self.upstreams.get(record.name)
@@ -88,15 +104,42 @@
         return upstream
 
     def deregister(self, deregistered: DeregisteredEvent) -> Upstream | None:
-        """Mark an upstream as leaving; return none if it is unknown."""
-        self.announcement_tracker.record_deregistration(
-            deregistered.name, deregistered.lifetime
-        )
+        """Mark an upstream as leaving.
+
+        Returns none if it is unknown.
+        """
+        lifetime = self._find_left_lifetime(deregistered)
+        self._record_departure(deregistered.name, lifetime)
         upstream = self.upstreams.get(deregistered.name)
-        if upstream is not None:
-            self._set_leaving('upstream deregistered', upstream)
+        if upstream is None:
+            return None
+        self._set_leaving('upstream deregistered', upstream)
         return upstream
 
+    def record_read_departures(
+        self, departures: tuple[Departure, ...]
+    ) -> list[Upstream]:
+        """Record the departures that earlier processes of this node stored.
+
+        Returns the upstreams that have announced themselves as ready since.
+        """
+        self.first_announcements.are_departures_known = True
+        return [
+            upstream
+            for one in departures
+            for upstream in self._record_left(one.name, one.lifetime)
+        ]
+
+    def record_recalled(self, upstreams: tuple[UpstreamRecord, ...]) -> None:
+        """Record which upstreams an earlier process of this node used."""
+        now = monotonic()
+        for one in upstreams:
+            self.first_announcements.confirm(one.name, one.lifetime, now)
+
+    def record_listening(self) -> None:
+        """Record that upstreams can announce themselves from now on."""
+        self.first_announcements.listening_since = monotonic()
+
     def record_departures(
         self, departed: tuple[UpstreamRecord, ...]
     ) -> list[Upstream]:
@@ -104,16 +147,10 @@
 
         Returns those that have announced themselves as ready since then.
         """
-        found = []
+        found: list[Upstream] = []
         for left in departed:
-            self.announcement_tracker.record_deregistration(
-                left.name, left.lifetime
-            )
-            upstream = self.upstreams.get(left.name)
-            is_same = upstream and upstream.record.lifetime == left.lifetime
-            if upstream and is_same and not upstream.record.leaving:
-                self._set_leaving('upstream had left', upstream)
-                found.append(upstream)
+            self.departure_records.record(left.name, left.lifetime)
+            found.extend(self._record_left(left.name, left.lifetime))
         return found
 
     def record_leaving(self, upstream: Upstream) -> None:
@@ -121,9 +158,7 @@
 
         Announcements of the same process that say otherwise are outdated.
         """
-        self.announcement_tracker.record_deregistration(
-            upstream.record.name, upstream.record.lifetime
-        )
+        self._record_departure(upstream.record.name, upstream.record.lifetime)
         self._set_leaving('upstream stated leaving', upstream)
 
     def record_limit(self, upstream: Upstream) -> None:
@@ -143,6 +178,52 @@
         if upstream.record.limit is not None:
             self._publish_limit('upstream limit unconfirmed', upstream, None)
 
+    def _may_use(self, announced: AnnouncedEvent) -> bool:
+        record = announced.record
+        may_use = self.first_announcements.may_use(
+            record.name, record.lifetime, announced.interval, monotonic()
+        )
+        if not may_use:
+            self.metrics.count('owner.announcements_unconfirmed')
+            logger.info(
+                'announcement unconfirmed',
+                upstream=record.name,
+                lifetime=record.lifetime,
+            )
+        return may_use
+
+    def _find_left_lifetime(self, deregistered: DeregisteredEvent) -> int:
+        """Return the lifetime of the process that deregistered.
+
+        Without one, that of the current process, or else of any before now.
+        """
+        if deregistered.lifetime:
+            return deregistered.lifetime
+        name = deregistered.name
+        if name in self.announcement_tracker.latest:
+            return self.announcement_tracker.find_lifetime(name)
+        return _read_unix_milliseconds()
+
+    def _record_departure(self, name: str, lifetime: int) -> None:
+        """Record that a process has left, here and in the store."""
+        self.announcement_tracker.record_deregistration(name, lifetime)
+        if lifetime:
+            self.departure_records.record(name, lifetime)
+
+    def _record_left(self, name: str, lifetime: int) -> list[Upstream]:
+        """Record that a process had left before this node started.
+
+        Returns its upstream if it has announced itself as ready since.
+        """
+        self.announcement_tracker.record_deregistration(name, lifetime)
+        upstream = self.upstreams.get(name)
+        if upstream is None or upstream.record.leaving:
+            return []
+        if upstream.record.lifetime > lifetime or not upstream.record.lifetime:
+            return []
+        self._set_leaving('upstream had left', upstream)
+        return [upstream]
+
     def _publish_limit(
         self, event: str, upstream: Upstream, limit: float | None
     ) -> None:
@@ -192,6 +273,10 @@
         logger.info(event, **msgspec.structs.asdict(record))
 
 
+def _read_unix_milliseconds() -> int:
+    return int(time() * MILLISECONDS_PER_SECOND)
+
+
 def is_about_equal(published: float | None, limit: float | None) -> bool:
     """Whether a published limit still describes a limit well enough."""
     if published is None or limit is None:
--- a/tests/owner_stage.py
+++ b/tests/owner_stage.py
@@ -19,14 +19,23 @@
 from kumquathold_node.announcements import AnnouncedEvent
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.kernel import Kernel
-from kumquathold_node.membership_messages import UpstreamsChangedEvent
+from kumquathold_node.membership_messages import (
+    DeparturesReadEvent,
+    UpstreamsChangedEvent,
+)
 from kumquathold_node.owner import Owner
 from kumquathold_node.owner_requests import OwnerRequest, Upstream
 from tests.test_jobs import WORK
 
 INGRESS = '10.0.0.9:1'
 INCARNATION = 2
-SERVICES = ('call-failures', 'configuration', 'claims', 'metrics')
+SERVICES = (
+    'call-failures',
+    'configuration',
+    'claims',
+    'departure-records',
+    'metrics',
+)
 DEADLINE_SECONDS = 60.0
 EXPIRY_SECONDS = 600.0
 
@@ -46,6 +55,7 @@
             retry_ratio=0.1, retry_extra=10.0, retry_window=10.0
         )
         self.owner = Owner(kernel, UpstreamDialect(), settings)
+        self.owner.announcements.on_departures_read(DeparturesReadEvent(()))
         self.started: list[OwnerRequest] = []
         self.owner.calls = mock.MagicMock(start=self._start)
 
@@ -72,7 +82,7 @@
             reply,
             AnnouncementStamp(record.lifetime),
         )
-        self.owner.on_announced(announced)
+        self.owner.announcements.on_announced(announced)
         return self.owner.upstreams.get(record.name)
 
     def send(self, number: int) -> None:
--- a/tests/site_announcements.py
+++ b/tests/site_announcements.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
+from unittest import mock
 
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.metrics import Metrics
@@ -40,6 +41,8 @@
         kernel = Kernel()
         kernel.register('owner', SimpleNamespace(task=self.task))
         kernel.register('metrics', Metrics(None))
+        self.records = mock.MagicMock()
+        kernel.register('departure-records', self.records)
         self.app = announcements.make_announcement_app(kernel)
 
     def call(self, path: str, body: object, method: str = 'POST') -> int:
--- a/tests/test_left_upstreams.py
+++ b/tests/test_left_upstreams.py
@@ -68,7 +68,7 @@
             if is_announced_first:
                 stage.announce()
                 stage.send(1)
-            stage.owner.on_departures_learned(event)
+            stage.owner.announcements.on_departures_learned(event)
             upstream = stage.announce()
             with self.subTest(is_announced_first):
                 is_offered = upstream and not upstream.record.leaving
--- a/tests/test_site_node.py
+++ b/tests/test_site_node.py
@@ -16,7 +16,7 @@
 import time
 import unittest
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import Any
 
@@ -76,11 +76,13 @@
             name: loopback_address(free_port()) for name in ADDRESS_FLAGS
         }
         self.target_address = ''
+        self.born = BORN_MILLISECONDS
         self.sequence = itertools.count(1)
         self.ids = itertools.count(1)
 
     def start(self, store: str, log: Path, program: Path) -> None:
         """Start the node as the deploy file does, with its output in `log`."""
+        self.log = log
         flags = {
             **self.addresses,
             'platform': store,
@@ -99,14 +101,31 @@
         arguments = [sys.executable, str(program)]
         for flag, given in flags.items():
             arguments.extend((f'--{flag}', str(given)))
-        with log.open('wb') as out:
+        self.arguments = arguments
+        self.start_process()
+
+    def start_process(self) -> None:
+        """Start the process of the node with the arguments of its start."""
+        with self.log.open('ab') as out:
             self.process = subprocess.Popen(
-                arguments,
+                self.arguments,
                 stdin=subprocess.DEVNULL,
                 stdout=out,
                 stderr=out,
             )
 
+    def restart(self) -> None:
+        """Kill the process and start it again; wait until it is ready."""
+        self.process.kill()
+        self.process.wait()
+        self.start_process()
+        wait_until(self._is_up, 'readiness after a restart')
+
+    def _is_up(self) -> bool:
+        with suppress(OSError):
+            return self.is_ready()
+        return False
+
     def is_ready(self) -> bool:
         """Return whether the node reports that it accepts requests."""
         path = '/api/readiness'
@@ -116,7 +135,7 @@
         """Send a heartbeat of the target, and return the status."""
         body = {
             'address': self.target_address,
-            'born': BORN_MILLISECONDS,
+            'born': self.born,
             'info': {'service': 'catalog', 'slots': 4},
             'status': {
                 'state': 'ready',
@@ -128,6 +147,17 @@
         raw = json.dumps(body).encode()
         return call(self.addresses['announce'], 'POST', path, raw).status
 
+    def deregister(self, **fields: int) -> int:
+        """Deregister the target, and return the status."""
+        path = f'/api/instances/{INSTANCE}/deregister'
+        raw = json.dumps(fields).encode()
+        return call(self.addresses['announce'], 'POST', path, raw).status
+
+    def is_serving(self) -> bool:
+        """Send a heartbeat; return whether the target gets requests."""
+        self.send_heartbeat()
+        return self.send('GET', '/holds/open/first').status == 200
+
     def send(
         self,
         method: str,
@@ -164,10 +194,7 @@
         try:
             wait_until(node.is_ready, 'readiness')
             wait_until(lambda: node.send_heartbeat() == 200, 'announcement')
-            wait_until(
-                lambda: node.send('GET', '/holds/open/first').status == 200,
-                'first answer',
-            )
+            wait_until(node.is_serving, 'first answer')
             wait_until(
                 lambda: node.send('POST', '/holds/first').status == 200,
                 'first token',
