Ignore the late deregistration of an earlier process

What callers saw: a server restarted under its id behind a cut, and the deregistration of its earlier process arrived after the heartbeats of the new one.

Cause: `UpstreamRoster.deregister` marked the upstream of that name as leaving whatever the lifetime in the deregistration; only the tracker compared it.

Change: a deregistration whose lifetime is below that of the present process marks nothing.

--- a/packages/node/src/kumquathold_node/upstream_roster.py
+++ b/packages/node/src/kumquathold_node/upstream_roster.py
@@ -106,12 +106,13 @@
     def deregister(self, deregistered: DeregisteredEvent) -> Upstream | None:
         """Mark an upstream as leaving.
 
-        Returns none if it is unknown.
+        Returns none if it is unknown, or if it was an earlier process of that
+        name which deregistered: the present one stays.
         """
         lifetime = self._find_left_lifetime(deregistered)
         self._record_departure(deregistered.name, lifetime)
         upstream = self.upstreams.get(deregistered.name)
-        if upstream is None:
+        if upstream is None or 0 < lifetime < upstream.record.lifetime:
             return None
         self._set_leaving('upstream deregistered', upstream)
         return upstream
--- a/tests/test_departure_records.py
+++ b/tests/test_departure_records.py
@@ -145,6 +145,13 @@
     def is_offered(self, upstream: UpstreamRecord) -> bool:
         return upstream.ready and not upstream.leaving
 
+    def test_late_one_of_an_earlier_process_leaves_the_next_alone(self) -> None:
+        self.stage.announce(lifetime=7)
+        self.stage.announce(lifetime=9)
+        self.deregister(7)
+        (known,) = self.stage.last_published()
+        self.assertTrue(self.is_offered(known))
+
     def test_one_without_a_lifetime_is_of_the_present_process(self) -> None:
         self.stage.announce(lifetime=7)
         self.deregister(0)
