Serve workspaces whose quota has no burst

What callers saw: a configuration left out the burst of one tenant.

Cause: `region_limit_of` divides the rate by the burst. With a burst of 0 every request for tokens raised ZeroDivisionError in the holder's task, which logged it and sent nothing, so each ingress waited for its timeout.

A bucket has to hold one whole token to serve anything, so a burst of 0 counts as 1 (`MIN_BURST`).

Service below the rate with so few tokens: a token that is granted leaves no room for the next until it is reported as used. An ingress now reports at once when it has no token left, and the holder tells others to return when the bucket has refilled, not when the grant would expire.

The class: who waits for a handler that raises is told at once. A future in the message gets `HandlerFailed`, a request for tokens is refused, and a request at an owner fails with an unknown outcome.

--- a/packages/core/src/kumquathold_core/token_bucket.py
+++ b/packages/core/src/kumquathold_core/token_bucket.py
@@ -23,6 +23,14 @@
 
 GRANT_LIFETIME_SECONDS = 0.5
 MIN_RETRY_SECONDS = 0.01
+MIN_BURST = 1
+"""Least burst, in requests, of a workspace that has a rate.
+
+A bucket that holds no whole token serves nothing.
+"""
+
+USAGE_REPORT_SECONDS = 0.05
+"""Time in which ingresses report what they used of their grants."""
 
 
 class RegionLimit(msgspec.Struct, frozen=True):
@@ -59,7 +67,8 @@
     """Return one region's share; the shares of all regions add up to the limit.
 
     The burst is divided in whole tokens. The remainder goes to regions in an
-    order that differs by workspace, and the rate is divided like the burst.
+    order that differs by workspace, and the rate is divided like the burst. A
+    burst of 0 counts as `MIN_BURST`: the region that has it has the whole rate.
     """
 
     def hash_region(name: str) -> bytes:
@@ -67,11 +76,10 @@
         return hashlib.blake2b(text.encode(), digest_size=8).digest()
 
     rank = sorted(regions, key=hash_region).index(region)
-    whole, remainder = divmod(workspace.burst, len(regions))
+    total = max(workspace.burst, MIN_BURST)
+    whole, remainder = divmod(total, len(regions))
     burst = whole + int(rank < remainder)
-    return RegionLimit(
-        rate=workspace.rate * burst / workspace.burst, burst=burst
-    )
+    return RegionLimit(rate=workspace.rate * burst / total, burst=burst)
 
 
 class TokenBucket:
@@ -133,16 +141,18 @@
             self.grants.pop(grant_id)
 
     def estimate_token_wait(self, now: float) -> float:
-        """Return the least seconds until a whole token can be available."""
+        """Return the seconds until a whole token is likely to be available.
+
+        Tokens that are granted and not reported as used leave no room for new
+        ones: reports are due within `USAGE_REPORT_SECONDS`.
+        """
         self._refill(now)
         if self.limit.burst < 1:
             return math.inf
         missing = max(0, 1 - self.level)
+        refill = max(missing / self.limit.rate, MIN_RETRY_SECONDS)
         room = self.limit.burst - self._count_outstanding()
-        if room < 1:
-            earliest = min(grant.expires_at for grant in self.grants.values())
-            return max(earliest - now, MIN_RETRY_SECONDS)
-        return max(missing / self.limit.rate, MIN_RETRY_SECONDS)
+        return refill if room >= 1 else max(refill, USAGE_REPORT_SECONDS)
 
     def is_idle(self, now: float) -> bool:
         """Return whether the bucket is full and can be dropped without loss."""
--- a/packages/node/src/kumquathold_node/announcements.py
+++ b/packages/node/src/kumquathold_node/announcements.py
@@ -24,7 +24,7 @@
 )
 from kumquathold_core.decoding import Count, InvalidContent, Name, decode_json
 from kumquathold_core.identity import UpstreamRecord
-from kumquathold_node.kernel import Kernel
+from kumquathold_node.kernel import HandlerFailed, Kernel
 from kumquathold_node.settings import SettingsError, parse_address
 
 ANNOUNCEMENT_LIFETIME_SECONDS = 5.0
@@ -172,7 +172,7 @@
         running, waiting = reply.result(OWNER_TIMEOUT_SECONDS)
         if record.leaving:
             await_departure(kernel, record.name)
-    except FutureTimeout:
+    except (FutureTimeout, HandlerFailed):
         return _respond(start_response, '503 Service Unavailable', b'{}')
     body = msgspec.json.encode(
         AnnouncementResponse(running, waiting, ANNOUNCEMENT_LIFETIME_SECONDS),
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -39,7 +39,7 @@
 from kumquathold_node.configuration import Configuration, ConfigurationService
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.freshness_service import FreshnessService
-from kumquathold_node.kernel import Kernel
+from kumquathold_node.kernel import HandlerFailed, Kernel
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner_requests import CallFailures
 from kumquathold_node.rate_client import (
@@ -250,7 +250,7 @@
         self.rate_client.task.post(AcquireCommand(workspace.name, reply, wait))
         try:
             refused = reply.result(wait + TOKEN_REPLY_MARGIN_SECONDS)
-        except FutureTimeout:
+        except (FutureTimeout, HandlerFailed):
             refused = TokenRefusal(Refusal.rate_unavailable, 1.0)
         if refused is None:
             return
--- a/packages/node/src/kumquathold_node/kernel.py
+++ b/packages/node/src/kumquathold_node/kernel.py
@@ -10,6 +10,7 @@
 import queue
 import threading
 from collections.abc import Callable, Iterator, Mapping
+from concurrent.futures import Future
 from contextlib import contextmanager
 from time import monotonic
 from typing import Any
@@ -34,6 +35,10 @@
     """A service is already registered under this name."""
 
 
+class HandlerFailed(KernelError):
+    """The handler of a message raised an exception; its log has the cause."""
+
+
 class _Stop:
     """Inbox message that ends a task."""
 
@@ -41,7 +46,8 @@
 class Task:
     """A thread that handles the messages of an inbox and calls a periodic tick.
 
-    An exception in a handler or in the tick is logged; the task goes on.
+    An exception in a handler or in the tick is logged; the task goes on. Who
+    waits for the `reply` of the message is told at once.
     """
 
     def __init__(
@@ -50,18 +56,21 @@
         handlers: Mapping[type, Callable[[Any], None]],
         tick: Callable[[], None] | None = None,
         tick_seconds: float = 1.0,
+        on_failure: Callable[[Any], None] | None = None,
     ) -> None:
         """Set up the task; `start` starts its thread.
 
         `handlers` maps message classes to their handlers; a message from a
         peer is looked up by the class inside its `Envelope`. `tick` is called
         on the task's thread, `tick_seconds` or more after the last call: a
-        message that is being handled delays it.
+        message that is being handled delays it. `on_failure` is called with a
+        message whose handler raised an exception.
         """
         self.name = name
         self.handlers = dict(handlers)
         self.tick = tick
         self.tick_seconds = tick_seconds
+        self.on_failure = on_failure
         self.inbox: queue.SimpleQueue[Any] = queue.SimpleQueue()
         self.thread = threading.Thread(target=self._run, name=name, daemon=True)
 
@@ -103,13 +112,25 @@
         if handler is None:
             logger.error('message without handler', kind=kind.__name__)
             return
-        self._run_guarded(lambda: handler(message))
-
-    def _run_guarded(self, action: Callable[[], None]) -> None:
+        is_handled = self._run_guarded(lambda: handler(message))
+        if not is_handled:
+            self._run_guarded(lambda: self._report_failure(message))
+
+    def _report_failure(self, message: Any) -> None:
+        reply = getattr(message, 'reply', None)
+        if isinstance(reply, Future) and not reply.done():
+            reply.set_exception(HandlerFailed(self.name))
+        if self.on_failure is not None:
+            self.on_failure(message)
+
+    def _run_guarded(self, action: Callable[[], None]) -> bool:
+        """Return whether the action ended without an exception."""
         try:
             action()
         except Exception:
             logger.exception('task failed on a message', task=self.name)
+            return False
+        return True
 
 
 class Kernel:
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -23,7 +23,7 @@
 from kumquathold_core.silence_detector import SilenceDetector
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.heartbeat_tracker import Heartbeat, HeartbeatTracker
-from kumquathold_node.kernel import Kernel, Task
+from kumquathold_node.kernel import HandlerFailed, Kernel, Task
 from kumquathold_node.membership_messages import (
     DeparturesLearnedEvent,
     GroupsHeldEvent,
@@ -155,7 +155,7 @@
         self.task.post(ReadClockCommand(peer, reply))
         try:
             return reply.result(timeout)
-        except FutureTimeout:
+        except (FutureTimeout, HandlerFailed):
             return None
 
     def get_last_answer_time(self, peer: str) -> float:
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -12,13 +12,14 @@
 import math
 from concurrent.futures import ThreadPoolExecutor
 from time import monotonic
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from kumquathold_core import admission, forwarding
 from kumquathold_core.forwarding import Outcome, Refusal
 from kumquathold_core.request_registry import RequestRegistry
+from kumquathold_core.wire import Envelope
 from kumquathold_node import (
     claim_writes,
     claims_service,
@@ -56,7 +57,6 @@
 
 if TYPE_CHECKING:
     from kumquathold_core.identity import RequestId
-    from kumquathold_core.wire import Envelope
 
 TICK_SECONDS = 0.25
 WORKER_THREADS = 64
@@ -131,6 +131,7 @@
             },
             tick=self.on_tick,
             tick_seconds=TICK_SECONDS,
+            on_failure=self.fail_unhandled,
         )
         self.calls = OwnerCalls(self.workers, self.task.post)
         self.transport.deliver_to(self.task)
@@ -258,6 +259,21 @@
             request.is_cancelled = True
             self.metrics.count('owner.cancelled.running')
 
+    def fail_unhandled(self, failed: Any) -> None:
+        """Fail the request of a message whose handler raised an exception.
+
+        Its caller would otherwise wait until its deadline. Whether it ran is
+        not known.
+        """
+        message = failed
+        if isinstance(failed, Envelope):
+            message = failed.message
+        request = getattr(message, 'request', None)
+        if isinstance(message, forwarding.ForwardRequest):
+            request = OwnerRequest(message, failed.sender, monotonic())
+        if isinstance(request, OwnerRequest):
+            self._fail(request, Outcome.unknown, Refusal.internal_error)
+
     def _refuse_queued(self, upstream: Upstream) -> None:
         self._return_queued(
             upstream, upstream.queue.items(), Refusal.upstream_leaving
--- a/packages/node/src/kumquathold_node/rate_client.py
+++ b/packages/node/src/kumquathold_node/rate_client.py
@@ -26,7 +26,7 @@
 from kumquathold_node.settings import Settings
 from kumquathold_node.transport import Transport
 
-TICK_SECONDS = 0.05
+TICK_SECONDS = token_bucket.USAGE_REPORT_SECONDS
 MAX_REFILL_WAIT_SECONDS = 0.3
 DEFAULT_RETRY_AFTER_SECONDS = 1.0
 GRANT_TIMEOUT_SECONDS = 0.25
@@ -256,6 +256,17 @@
             )
         self._serve_waiters(tokens, now)
         self._request_or_refuse(response.workspace, tokens, now)
+        if not tokens.waiters and not tokens.cache.count(now):
+            self._report_usage(response.workspace, tokens, envelope.sender)
+
+    def _report_usage(
+        self, name: str, tokens: WorkspaceTokens, holder: str
+    ) -> None:
+        """Report at once: a small bucket refills only after that."""
+        usage = tokens.cache.take_reports(name, holder)
+        if usage:
+            message = distribution.UsageNotice(reports=tuple(usage))
+            self.transport.try_send(holder, message)
 
     def on_tick(self) -> None:
         """Serve or refuse waiting requests, then return and report tokens."""
--- a/packages/node/src/kumquathold_node/rate_holder.py
+++ b/packages/node/src/kumquathold_node/rate_holder.py
@@ -58,6 +58,7 @@
             },
             tick=self.drop_idle_buckets,
             tick_seconds=IDLE_CHECK_SECONDS,
+            on_failure=self.refuse_unhandled,
         )
         self.transport.deliver_to(self.task)
         kernel.register('rate-holder', self)
@@ -101,6 +102,22 @@
         )
         self.transport.try_send(envelope.sender, response)
 
+    def refuse_unhandled(self, failed: Any) -> None:
+        """Refuse a request for tokens whose handler raised an exception.
+
+        Without a reply, the ingress would wait for one until its timeout.
+        """
+        is_from_peer = isinstance(failed, Envelope)
+        if not is_from_peer:
+            return
+        request = failed.message
+        if isinstance(request, distribution.GrantRequest):
+            self.metrics.count('rates.failed')
+            response = distribution.GrantResponse(
+                request.number, request.workspace, 0, 0.0, is_holder=False
+            )
+            self.transport.try_send(failed.sender, response)
+
     def on_usage_notice(
         self, envelope: Envelope[distribution.UsageNotice]
     ) -> None:
