Count the bytes of all bodies in one budget of the process

What callers saw: an upstream that sends a body without end, or several large bodies at once, took the memory of the node beside it, and of the node that had called. Beyond the limit of its VM the process ends, with the requests of all other callers. Requests of a sound service on the same node failed meanwhile with 502.

Cause: bodies were counted only while an upstream's response was read, and only once, though they were held several times: by the HTTP server and again by the request, as chunks and joined, in the buffers of links, by the registry, and by the server as it sends. Nothing counted the bodies of requests. What one reader could not have, a small body of another upstream could not have either. And the allocator kept freed blocks.

Change: `BodyMemory` counts all bodies of the process, 136 MB by default (`--body-memory`); a reservation goes with its body from reading it to the last byte sent. A request whose body doesn't fit gets 503, not run, with a time to return; it is read to its end, as a reset would lose the refusal. A response of a stated length waits for memory until its deadline, one without fails, and an ingress without memory asks its owner again. Bodies are put together in one buffer, are not cut into chunks within one process, and are written in pieces; chunks have 64 KB; large blocks go back to the system as they are freed.

--- a/packages/core/src/kumquathold_core/forwarding.py
+++ b/packages/core/src/kumquathold_core/forwarding.py
@@ -11,7 +11,7 @@
 
 Headers = tuple[tuple[str, str], ...]
 
-BODY_CHUNK_BYTES = 262_144
+BODY_CHUNK_BYTES = 65_536
 """Largest part of a body in one message."""
 
 
--- a/packages/core/src/kumquathold_core/reassembly.py
+++ b/packages/core/src/kumquathold_core/reassembly.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import io
 from collections.abc import Callable, Hashable, Iterator
 
 from kumquathold_core import wire
@@ -43,24 +44,46 @@
 
 
 class PartialBody:
-    """The chunks of one body that have arrived so far."""
-
-    __slots__ = ('chunks', 'deadline', 'digest', 'received', 'total')
+    """The chunks of one body that have arrived so far.
+
+    They are put into one buffer as they arrive, so that the complete body needs
+    no second copy. A single chunk is not copied at all.
+    """
+
+    __slots__ = (
+        'buffer',
+        'deadline',
+        'digest',
+        'first',
+        'offsets',
+        'received',
+        'total',
+    )
 
     def __init__(self) -> None:
         """Start without chunks, of a body of unknown length."""
         self.deadline = 0.0
         self.digest = b''
         self.total = -1
-        self.chunks: dict[int, bytes] = {}
+        self.buffer = io.BytesIO()
+        self.first: bytes | None = None
+        """The chunk at the start, until another one arrives."""
+        self.offsets: set[int] = set()
         self.received = 0
 
     def add(self, offset: int, chunk: bytes) -> None:
         """Add a chunk; ignore a duplicate."""
-        if offset in self.chunks:
+        if offset in self.offsets:
             return
-        self.chunks[offset] = chunk
+        self.offsets.add(offset)
         self.received += len(chunk)
+        if offset == 0 and self.received == len(chunk):
+            self.first = chunk
+            return
+        if self.first is not None:
+            self._put(0, self.first)
+            self.first = None
+        self._put(offset, chunk)
 
     def announce(self, total: int, digest: bytes) -> None:
         """Set the length and digest of the body from its first message."""
@@ -74,7 +97,7 @@
         """
         if self.total < 0 or self.received < self.total:
             return None
-        body = b''.join(chunk for _, chunk in sorted(self.chunks.items()))
+        body = self.buffer.getvalue() if self.first is None else self.first
         if len(body) != self.total:
             raise BodyLengthMismatch(
                 f'chunks hold {len(body)} bytes, announced were {self.total}'
@@ -85,6 +108,10 @@
             )
         return body
 
+    def _put(self, offset: int, chunk: bytes) -> None:
+        self.buffer.seek(offset)
+        self.buffer.write(chunk)
+
 
 class Reassembler:
     """The incomplete bodies of one task, by key."""
--- a/packages/node/src/kumquathold_node/attempts.py
+++ b/packages/node/src/kumquathold_node/attempts.py
@@ -17,7 +17,6 @@
 from kumquathold_core import forwarding, peer_clock
 from kumquathold_core.forwarding import Headers, Outcome, Refusal
 from kumquathold_core.identity import RequestId
-from kumquathold_core.reassembly import split_body
 from kumquathold_core.retries import AttemptFailure
 from kumquathold_core.rules import Route, Service, Workspace
 from kumquathold_node import caller_requests
@@ -229,7 +228,6 @@
         admitted = self.admitted
         request = admitted.request
         workspace = admitted.workspace
-        first, rest = split_body(request.body)
         message = forwarding.ForwardRequest(
             request=self.request_id,
             owner_incarnation=self.owner_incarnation,
@@ -253,16 +251,15 @@
             max_risk=self.selection.max_risk,
             body_bytes=len(request.body),
             body_digest=admitted.body_digest,
-            body=first,
+            body=b'',
             is_retry=self.is_retry,
             statement=self.selection.statement,
         )
         self.context.transport.send_with_body(
             self.owner,
             message,
-            rest,
+            request.body,
             forwarding.RequestChunk,
-            self.request_id,
         )
 
     def _wait_for_result(
@@ -416,6 +413,7 @@
             status=response.status,
             headers=tuple(headers),
             body=event.body,
+            reservation=event.reservation,
         )
 
     def _on_failure(self, event: forwarding.FailureResponse) -> AttemptFailure:
--- a/packages/node/src/kumquathold_node/caller_requests.py
+++ b/packages/node/src/kumquathold_node/caller_requests.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import io
 import json
 import math
 import uuid
@@ -19,6 +20,7 @@
 
 from kumquathold_core.forwarding import Headers, Outcome, Refusal
 from kumquathold_core.rules import KEY_PREFIX, Route, parse_key_id
+from kumquathold_node.body_memory import Reservation
 from kumquathold_node.dialect import CallerDialect
 from kumquathold_node.upstream_calls import OUTCOME_HEADER
 from kumquathold_node.upstream_responses import strip_hop_by_hop_headers
@@ -126,6 +128,9 @@
     body: bytes
     """The whole body."""
 
+    reservation: Reservation | None = None
+    """Memory for the body, if it is an upstream's."""
+
 
 class RequestRefused(Exception):
     """The request is refused, and gets problem details as its response."""
@@ -176,7 +181,7 @@
         idempotency_key=by_name.get(IDEMPOTENCY_HEADER, '').strip(),
         timeout=_parse_timeout(by_name, dialect),
         arrived_at=environ.get(ARRIVED_AT, monotonic()),
-        body=environ['wsgi.input'].read(),
+        body=_read_body(environ['wsgi.input']),
         is_disconnected=environ.get(
             'waitress.client_disconnected', _assume_connected
         ),
@@ -312,5 +317,12 @@
     return is_credential and f'{KEY_PREFIX}_' in text
 
 
+def _read_body(stream: io.BytesIO) -> bytes:
+    """Return the whole body, without a copy if it is in memory."""
+    if isinstance(stream, io.BytesIO):
+        return stream.getvalue()
+    return stream.read()
+
+
 def _assume_connected() -> bool:
     return False
--- a/packages/node/src/kumquathold_node/caller_server.py
+++ b/packages/node/src/kumquathold_node/caller_server.py
@@ -14,6 +14,7 @@
 
 from kumquathold_core.forwarding import Outcome, Refusal
 from kumquathold_node import caller_connections, caller_requests, http_server
+from kumquathold_node.body_memory import Reservation
 from kumquathold_node.caller_requests import (
     CallerRequest,
     CallerResponse,
@@ -28,6 +29,7 @@
 if TYPE_CHECKING:
     import waitress.server
 
+WRITE_PIECE_BYTES = 262_144
 BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
@@ -118,11 +120,22 @@
             metrics.time('ingress.request', monotonic() - arrived_at)
             headers = _response_headers(response, request_id, dialect)
             start_response(http_server.format_status(response.status), headers)
-            return [body]
+            if len(body) <= WRITE_PIECE_BYTES:
+                return [body]
+            return _write_in_pieces(body, response.reservation)
 
     return app
 
 
+def _write_in_pieces(body: bytes, _: Reservation | None) -> Iterator[bytes]:
+    """Yield a body piece by piece: the server copies what it has not sent.
+
+    The reservation is held until all is written.
+    """
+    for start in range(0, len(body), WRITE_PIECE_BYTES):
+        yield body[start : start + WRITE_PIECE_BYTES]
+
+
 def _handle_request(
     ingress: Ingress,
     metrics: Metrics,
--- a/packages/node/src/kumquathold_node/composition.py
+++ b/packages/node/src/kumquathold_node/composition.py
@@ -5,6 +5,7 @@
 from kumquathold_core.identity import NodeRecord
 from kumquathold_node.adapter import Adapter
 from kumquathold_node.balancer import Balancer
+from kumquathold_node.body_memory import BodyMemory
 from kumquathold_node.caller_server import RequestGate
 from kumquathold_node.claims_service import ClaimsService
 from kumquathold_node.configuration import ConfigurationService
@@ -25,6 +26,8 @@
 from kumquathold_node.shutdown import GracefulShutdown
 from kumquathold_node.transport import Transport
 
+BYTES_PER_MEGABYTE = 1_000_000
+
 
 def assemble(settings: Settings, adapter: Adapter) -> Kernel:
     """Create the services of a node without starting their threads.
@@ -35,6 +38,9 @@
     metrics = Metrics(settings.statsd)
     incarnation = start_incarnation()
     kernel.register('metrics', metrics)
+    kernel.register(
+        'body-memory', BodyMemory(settings.body_memory * BYTES_PER_MEGABYTE)
+    )
     kernel.register('store', adapter.open_store(settings, metrics))
     kernel.register(
         'transport',
--- a/packages/node/src/kumquathold_node/http_server.py
+++ b/packages/node/src/kumquathold_node/http_server.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
+from functools import partial
 from http import HTTPStatus
 from time import monotonic
 from typing import Any
@@ -18,10 +19,16 @@
 import waitress.parser
 import waitress.server
 import waitress.task
+import waitress.utilities
 from loguru import logger
 
 from kumquathold_core.forwarding import Outcome, Refusal
 from kumquathold_node import caller_connections, caller_requests
+from kumquathold_node.body_memory import (
+    BodyMemory,
+    BodyMemoryFull,
+    Reservation,
+)
 from kumquathold_node.caller_requests import RequestRefused
 from kumquathold_node.dialect import CallerDialect
 from kumquathold_node.supervision import Supervisor
@@ -34,6 +41,9 @@
 CONNECTION_LIMIT = 4000
 IDLE_CONNECTION_SECONDS = 60
 LISTEN_BACKLOG = 1024
+NO_MEMORY_RETRY_SECONDS = 0.5
+"""Time after which clients may send a body again that was not kept."""
+
 END_TIMEOUT_SECONDS = 0.1
 """The end of a process takes this long at most for each of its servers."""
 
@@ -89,9 +99,15 @@
         refused = RequestRefused(Refusal.malformed)
         if error.code == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
             refused = RequestRefused(Refusal.body_too_large)
+        elif isinstance(error, _NoMemory):
+            refused = RequestRefused(
+                Refusal.overloaded, retry_after=NO_MEMORY_RETRY_SECONDS
+            )
         elif error.code >= HTTPStatus.INTERNAL_SERVER_ERROR:
             refused = RequestRefused(Refusal.internal_error, Outcome.unknown)
-        response = caller_requests.make_problem(refused, '', CallerDialect())
+        response = caller_requests.make_problem(
+            refused, '', self.channel.server.caller_dialect
+        )
         self.status = format_status(response.status)
         self.response_headers.extend(response.headers)
         self.set_close_on_finish()
@@ -115,24 +131,100 @@
         return environ
 
 
-class _TimedParser(waitress.parser.HTTPRequestParser):
-    """Notes when the first bytes of a request arrive.
+class _NoMemory(waitress.utilities.Error):
+    """A body was not kept, since the process holds too many."""
+
+    code = HTTPStatus.SERVICE_UNAVAILABLE
+    reason = HTTPStatus.SERVICE_UNAVAILABLE.phrase
+
+
+class _DiscardedBody:
+    """Takes the place of a body's buffer, and keeps nothing."""
+
+    def append(self, _: bytes) -> None:
+        """Drop bytes."""
+
+    def __len__(self) -> int:
+        """Return 0, as nothing is kept."""
+        return 0
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class _RequestParser(waitress.parser.HTTPRequestParser):
+    """Notes when a request arrives, and counts the memory of its body.
 
     All worker threads may be busy when it is complete. The time that it waits
-    for one counts against its deadline.
+    for one counts against its deadline. A body for which there is no memory is
+    read to its end, so that the client gets the refusal, but not kept.
     """
 
-    def __init__(self, adjustments: Any) -> None:
+    error: Any
+
+    def __init__(self, memory: BodyMemory, adjustments: Any) -> None:
         """Note the time."""
         super().__init__(adjustments)
         self.arrived_at = monotonic()
+        self.reservation = Reservation(memory)
+        self.is_discarded = False
+
+    def received(self, data: bytes) -> int:
+        """Take bytes of the request; return how many."""
+        consumed: int = super().received(data)
+        if self.body_rcv is not None and not self.is_discarded:
+            self._reserve()
+        if self.is_discarded and self.completed and self.error is None:
+            self.error = _NoMemory('no memory for the body')
+        return consumed
+
+    def close(self) -> None:
+        """Drop the body."""
+        super().close()
+        self.reservation.release()
+
+    def _reserve(self) -> None:
+        """Reserve the stated size of the body, or else what has arrived."""
+        size = max(self.content_length, self.body_bytes_received)
+        try:
+            self.reservation.grow(max(0, size - self.reservation.size))
+        except BodyMemoryFull as error:
+            logger.warning('body not kept', cause=str(error))
+            self.is_discarded = True
+            self.reservation.release()
+            self.body_rcv.buf = _DiscardedBody()
 
 
 class _Channel(waitress.channel.HTTPChannel):
+    """A connection of a client; counts the memory of what it has not read."""
+
     error_task_class = _ProblemTask
-    parser_class = _TimedParser
     task_class = _ClosingTask
 
+    def __init__(self, server: Any, *others: Any, **named: Any) -> None:
+        """Use the memory of the server."""
+        self.parser_class = partial(_RequestParser, server.body_memory)
+        self.unread = Reservation(server.body_memory)
+        super().__init__(server, *others, **named)
+
+    def write_soon(self, data: Any) -> int:
+        """Queue bytes for the client; waits while it reads too slowly."""
+        queued: int = super().write_soon(data)
+        self.unread.resize(self.total_outbufs_len)
+        return queued
+
+    def handle_write(self) -> None:
+        """Send queued bytes."""
+        super().handle_write()
+        self.unread.resize(self.total_outbufs_len)
+
+    def handle_close(self) -> None:
+        """Close the connection, and drop a request that is incomplete."""
+        super().handle_close()
+        self.unread.release()
+        if self.request is not None:
+            self.request.close()
+
 
 class _LogBridge(logging.Handler):
     """Forwards the log records of waitress to the log of the node."""
@@ -156,10 +248,13 @@
     address: str,
     threads: int,
     is_draining: Callable[[], bool] = bool,
+    memory: BodyMemory | None = None,
+    dialect: CallerDialect | None = None,
 ) -> Iterator[waitress.server.BaseWSGIServer]:
     """Serve HTTP on `address` while the block runs, on `threads` at most.
 
     While `is_draining` returns true, connections are closed after a response.
+    `memory` bounds the bodies of requests, and `dialect` is that of refusals.
     As the block ends, requests that have arrived get their responses, for
     `END_TIMEOUT_SECONDS` at most.
     """
@@ -179,6 +274,8 @@
         clear_untrusted_proxy_headers=False,
         _dispatcher=ThreadDispatcher(f'http {address}', threads),
     )
+    server.body_memory = memory or BodyMemory(MAX_BODY_BYTES)
+    server.caller_dialect = dialect or CallerDialect()
     server.channel_class = _Channel
     server.is_draining = is_draining
     thread = threading.Thread(
--- a/packages/node/src/kumquathold_node/main.py
+++ b/packages/node/src/kumquathold_node/main.py
@@ -21,6 +21,7 @@
 from kumquathold_node import settings as node_settings
 from kumquathold_node.adapter import Adapter, default_adapter
 from kumquathold_node.administration import make_administration_app
+from kumquathold_node.allocator import limit_retained_memory
 from kumquathold_node.caller_server import make_caller_app
 from kumquathold_node.composition import assemble
 from kumquathold_node.health import make_health_app
@@ -46,6 +47,7 @@
 
 def run(settings: Settings, adapter: Adapter) -> None:
     """Run a node until its graceful shutdown is over; blocks meanwhile."""
+    limit_retained_memory()
     kernel = assemble(settings, adapter)
     transport: Transport = kernel.find('transport')
     shutdown: GracefulShutdown = kernel.find('shutdown')
@@ -82,6 +84,8 @@
                 settings.callers,
                 settings.threads,
                 lambda: shutdown.request_gate.is_draining,
+                kernel.find('body-memory'),
+                adapter.caller_dialect,
             ),
         )
         seeds.join()
@@ -244,6 +248,11 @@
         default=node_settings.DEFAULT_EXPLORE_SHARE,
         help='Share of requests sent to other upstreams to compare them.',
     ),
+    click.option(
+        '--body-memory',
+        default=node_settings.DEFAULT_BODY_MEMORY_MEGABYTES,
+        help='Megabytes of bodies of requests and responses held at once.',
+    ),
     click.option(
         '--retry-ratio',
         default=BUDGET_RETRIES_PER_REQUEST,
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -90,7 +90,10 @@
         self.metrics: Metrics = kernel.find('metrics')
         self.registry = RequestRegistry()
         self.intake = RequestIntake(
-            self.metrics, self._admit, self._refuse_malformed
+            self.metrics,
+            kernel.find('body-memory'),
+            self._admit,
+            self._refuse_body,
         )
         self.roster = UpstreamRoster(
             kernel,
@@ -110,6 +113,7 @@
             self.transport,
             self.workers,
             self.metrics,
+            kernel.find('pending-requests').task.post,
         )
         self.task = Task(
             'owner',
@@ -168,7 +172,8 @@
                 envelope.sender, message.request, known
             )
             return
-        self.intake.begin(request)
+        is_local = envelope.sender == self.transport.address
+        self.intake.begin(request, is_local=is_local)
 
     def on_request_chunk(
         self, envelope: Envelope[forwarding.RequestChunk]
@@ -445,8 +450,8 @@
                 self.roster.withdraw_limit(upstream)
         self.roster.remove_expired(now)
 
-    def _refuse_malformed(self, request: OwnerRequest) -> None:
-        self._fail(request, Outcome.not_run, Refusal.malformed)
+    def _refuse_body(self, request: OwnerRequest, reason: Refusal) -> None:
+        self._fail(request, Outcome.not_run, reason)
 
     def _admit(self, request: OwnerRequest) -> None:
         refusal = self._find_refusal(request)
@@ -563,7 +568,9 @@
         )
         self.requests.pop(request.request_id, None)
         self.registry.store_response(response, result.body)
-        self.replies.send_response(request.reply_to, response, result.body)
+        self.replies.send_response(
+            request.reply_to, response, result.body, result.reservation
+        )
 
     def _fail(
         self,
--- a/packages/node/src/kumquathold_node/owner_intake.py
+++ b/packages/node/src/kumquathold_node/owner_intake.py
@@ -8,7 +8,13 @@
 from loguru import logger
 
 from kumquathold_core import forwarding, reassembly
+from kumquathold_core.forwarding import Refusal
 from kumquathold_core.identity import RequestId
+from kumquathold_node.body_memory import (
+    BodyMemory,
+    BodyMemoryFull,
+    Reservation,
+)
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner_requests import OwnerRequest
 
@@ -22,23 +28,31 @@
     def __init__(
         self,
         metrics: Metrics,
+        memory: BodyMemory,
         admit: Callable[[OwnerRequest], None],
-        refuse: Callable[[OwnerRequest], None],
+        refuse: Callable[[OwnerRequest, Refusal], None],
     ) -> None:
         """Start empty.
 
         `admit` gets each request whose body is complete, and `refuse` each one
-        whose body does not match its announcement or does not arrive in time.
+        whose body does not fit into `memory`, does not match its announcement
+        or does not arrive in time.
         """
         self.metrics = metrics
+        self.memory = memory
         self.admit = admit
         self.refuse = refuse
         self.reassembler = reassembly.Reassembler()
         self.incomplete: dict[RequestId, OwnerRequest] = {}
 
-    def begin(self, request: OwnerRequest) -> None:
-        """Add a request with the first chunk of its body."""
+    def begin(self, request: OwnerRequest, *, is_local: bool) -> None:
+        """Add a request with the first chunk of its body.
+
+        The body of one that `is_local` is counted by the ingress already.
+        """
         message = request.message
+        if not is_local and not self._reserve(request):
+            return
         self.incomplete[message.request] = request
         self._reassemble(
             message.request,
@@ -75,6 +89,23 @@
         for request_id in self.reassembler.expire(now):
             self._refuse(request_id)  # type: ignore[arg-type]
 
+    def _reserve(self, request: OwnerRequest) -> bool:
+        """Reserve memory for the body; refuse the request if there is none."""
+        request.reservation = Reservation(self.memory)
+        try:
+            request.reservation.grow(request.message.body_bytes)
+        except BodyMemoryFull as error:
+            self.metrics.count('owner.bodies_without_memory')
+            logger.warning(
+                'body refused',
+                request=str(request.request_id),
+                cause=str(error),
+            )
+            self.reassembler.forget(request.request_id)
+            self.refuse(request, Refusal.overloaded)
+            return False
+        return True
+
     def _reassemble(
         self,
         request_id: RequestId,
@@ -99,4 +130,4 @@
     def _refuse(self, request_id: RequestId) -> None:
         request = self.incomplete.pop(request_id, None)
         if request is not None:
-            self.refuse(request)
+            self.refuse(request, Refusal.malformed)
--- a/packages/node/src/kumquathold_node/owner_replies.py
+++ b/packages/node/src/kumquathold_node/owner_replies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from time import monotonic
 from typing import TypeVar
@@ -9,12 +10,14 @@
 import msgspec
 from loguru import logger
 
-from kumquathold_core import forwarding, reassembly, wire
+from kumquathold_core import forwarding, wire
 from kumquathold_core.forwarding import Outcome, Refusal
 from kumquathold_core.identity import RequestId
 from kumquathold_core.request_registry import RequestEntry, RequestState
+from kumquathold_node.body_memory import Reservation
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner_requests import OwnerRequest, Upstream
+from kumquathold_node.pending_requests import ReservedBodyEvent
 from kumquathold_node.transport import NotSent, Transport
 from kumquathold_node.upstream_responses import UpstreamResponse
 
@@ -30,15 +33,21 @@
     not block.
     """
 
-    __slots__ = ('metrics', 'transport', 'workers')
+    __slots__ = ('hand_over', 'metrics', 'transport', 'workers')
 
     def __init__(
         self,
         transport: Transport,
         workers: ThreadPoolExecutor,
         metrics: Metrics,
+        hand_over: Callable[[ReservedBodyEvent], None],
     ) -> None:
-        """Set what is used to send."""
+        """Set what is used to send.
+
+        `hand_over` tells the ingress of this process of the memory for a body
+        that is sent to it.
+        """
+        self.hand_over = hand_over
         self.transport = transport
         self.workers = workers
         self.metrics = metrics
@@ -71,27 +80,33 @@
         receiver: str,
         response: forwarding.ForwardResponse,
         body: bytes,
+        reservation: Reservation | None = None,
     ) -> None:
         """Send a response; if large, from a worker thread."""
+        if reservation is not None and receiver == self.transport.address:
+            self.hand_over(ReservedBodyEvent(response.request, reservation))
         if len(body) <= forwarding.BODY_CHUNK_BYTES:
-            self.transport.try_send(receiver, response)
-        else:
-            self.workers.submit(self._send_large, receiver, response, body)
+            whole = msgspec.structs.replace(response, body=body)
+            self.transport.try_send(receiver, whole)
+            return
+        self.workers.submit(
+            self._send_large, receiver, response, body, reservation
+        )
 
     def _send_large(
         self,
         receiver: str,
         response: forwarding.ForwardResponse,
         body: bytes,
+        _: Reservation | None,
     ) -> None:
-        _, rest = reassembly.split_body(body)
+        # The worker holds the reservation until the body is sent.
         try:
             self.transport.send_with_body(
                 receiver,
                 response,
-                rest,
+                body,
                 forwarding.ResponseChunk,
-                response.request,
             )
         except NotSent:
             self.metrics.count('owner.answers_not_sent')
@@ -122,7 +137,6 @@
     replayed: bool,
 ) -> forwarding.ForwardResponse:
     """Build the message with a response, and the load of its upstream."""
-    first, _ = reassembly.split_body(result.body)
     response = forwarding.ForwardResponse(
         request=request.request_id,
         status=result.status,
@@ -134,7 +148,7 @@
         replayed=replayed,
         body_bytes=len(result.body),
         body_digest=wire.digest_body(result.body),
-        body=first,
+        body=b'',
     )
     return _add_load(response, upstream)
 
--- a/packages/node/src/kumquathold_node/owner_requests.py
+++ b/packages/node/src/kumquathold_node/owner_requests.py
@@ -15,9 +15,9 @@
 from kumquathold_core.retries import RetryBudget
 from kumquathold_core.start_limiter import StartLimiter
 from kumquathold_core.upstream_statements import KnownStatement
+from kumquathold_node.body_memory import BodyMemory, Reservation
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.upstream_calls import UpstreamCalls
-from kumquathold_node.upstream_responses import ResponseMemory
 
 LATE_QUEUE_PER_SLOT = 3
 """Queued requests past their objective that are kept per slot."""
@@ -59,6 +59,9 @@
     is_cancelled: bool = False
     """Whether its upstream call was cancelled as the caller is gone."""
 
+    reservation: Reservation | None = None
+    """Memory for its body, unless its ingress, in this process, counts it."""
+
     is_slot_free: bool = False
     """Whether its call broke, so that its slot is free although it is open."""
 
@@ -127,7 +130,7 @@
         record: UpstreamRecord,
         expires_at: float,
         dialect: UpstreamDialect,
-        memory: ResponseMemory | None = None,
+        memory: BodyMemory | None = None,
     ) -> None:
         """Start idle, with an empty queue.
 
--- a/packages/node/src/kumquathold_node/pending_requests.py
+++ b/packages/node/src/kumquathold_node/pending_requests.py
@@ -16,6 +16,11 @@
 from loguru import logger
 
 from kumquathold_core import forwarding, reassembly
+from kumquathold_node.body_memory import (
+    BodyMemory,
+    BodyMemoryFull,
+    Reservation,
+)
 from kumquathold_node.kernel import Kernel, Task
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.transport import Transport
@@ -34,11 +39,24 @@
     body: bytes
     """The whole body, whose digest matches."""
 
+    reservation: Reservation | None = None
+    """Memory for the body."""
+
 
 Event = ResponseEvent | forwarding.FailureResponse | forwarding.PendingResponse
 Mailbox = queue.SimpleQueue[Event]
 
 
+class ReservedBodyEvent(msgspec.Struct, frozen=True):
+    """An owner in this process sends a response whose body is counted."""
+
+    request_id: RequestId
+    """Identifies the attempt."""
+
+    reservation: Reservation
+    """Memory for the body."""
+
+
 class OpenCommand(msgspec.Struct, frozen=True):
     """Opens a mailbox for an attempt that is about to be sent."""
 
@@ -66,11 +84,14 @@
         self.mailboxes: dict[RequestId, Mailbox] = {}
         self.responses: dict[RequestId, forwarding.ForwardResponse] = {}
         self.reassembler = reassembly.Reassembler()
+        self.memory: BodyMemory = kernel.find('body-memory')
+        self.reservations: dict[RequestId, Reservation] = {}
         self.task = Task(
             'exchanges',
             {
                 OpenCommand: self.on_open,
                 CloseCommand: self.on_close,
+                ReservedBodyEvent: self.on_reserved_body,
                 forwarding.ForwardResponse: self.on_forward_response,
                 forwarding.ResponseChunk: self.on_response_chunk,
                 forwarding.FailureResponse: self.on_status,
@@ -99,8 +120,12 @@
     def on_close(self, command: CloseCommand) -> None:
         """Remove the mailbox of an attempt, and an incomplete response."""
         self.mailboxes.pop(command.request_id, None)
-        self.responses.pop(command.request_id, None)
-        self.reassembler.forget(command.request_id)
+        self._forget_response(command.request_id)
+
+    def on_reserved_body(self, event: ReservedBodyEvent) -> None:
+        """Take over the memory for a body that an owner here sends."""
+        if event.request_id in self.mailboxes:
+            self.reservations[event.request_id] = event.reservation
 
     def on_forward_response(
         self, envelope: Envelope[forwarding.ForwardResponse]
@@ -110,6 +135,8 @@
         if response.request not in self.mailboxes:
             self.metrics.count('ingress.late_answers')
             return
+        if not self._reserve(envelope):
+            return
         self.responses[response.request] = response
         self._assemble(
             response.request,
@@ -127,7 +154,7 @@
     ) -> None:
         """Add a chunk of a response; report progress to the attempt."""
         chunk = envelope.message
-        if chunk.request not in self.mailboxes:
+        if chunk.request not in self.reservations:
             return
         self._assemble(
             chunk.request,
@@ -153,7 +180,36 @@
 
         The owner sends them again on a status request.
         """
-        self.reassembler.expire(monotonic())
+        for request_id in self.reassembler.expire(monotonic()):
+            self._forget_response(request_id)  # type: ignore[arg-type]
+
+    def _reserve(self, envelope: Envelope[forwarding.ForwardResponse]) -> bool:
+        """Reserve memory for the body of a response; return false for none.
+
+        The attempt then asks for the state again, and the owner sends the
+        response once more. An owner in this process has reserved it already.
+        """
+        response = envelope.message
+        if response.request in self.reservations:
+            return True
+        reservation = Reservation(self.memory)
+        try:
+            reservation.grow(response.body_bytes)
+        except BodyMemoryFull as error:
+            self.metrics.count('ingress.answers_without_memory')
+            logger.warning(
+                'response not taken yet',
+                request=str(response.request),
+                cause=str(error),
+            )
+            return False
+        self.reservations[response.request] = reservation
+        return True
+
+    def _forget_response(self, request_id: RequestId) -> None:
+        self.responses.pop(request_id, None)
+        self.reassembler.forget(request_id)
+        self.reservations.pop(request_id, None)
 
     def _assemble(
         self, request_id: RequestId, receive: reassembly.BodyReceiver
@@ -170,4 +226,7 @@
             return
         response = self.responses.get(request_id)
         if body is not None and response is not None:
-            self.mailboxes[request_id].put(ResponseEvent(response, body))
+            reservation = self.reservations.get(request_id)
+            self.mailboxes[request_id].put(
+                ResponseEvent(response, body, reservation)
+            )
--- a/packages/node/src/kumquathold_node/settings.py
+++ b/packages/node/src/kumquathold_node/settings.py
@@ -23,6 +23,11 @@
 DEFAULT_HEARTBEAT_SECONDS = 0.25
 DEFAULT_EXPLORE_SHARE = 0.05
 DEFAULT_GRACE_SECONDS = 90.0
+DEFAULT_BODY_MEMORY_MEGABYTES = 136
+"""Twice the largest body, which is 67.1 MB, and some small ones."""
+
+MIN_BODY_MEMORY_MEGABYTES = 1
+MAX_BODY_MEMORY_MEGABYTES = 100_000
 MIN_RATE_TERM_SECONDS = 2.0
 MAX_RATE_TERM_SECONDS = 86_400.0
 
@@ -129,6 +134,9 @@
     explore_share: float = DEFAULT_EXPLORE_SHARE
     """Share of requests sent to another upstream of the region to compare."""
 
+    body_memory: int = DEFAULT_BODY_MEMORY_MEGABYTES
+    """Megabytes of bodies that the process holds at the same time."""
+
     retry_ratio: float = BUDGET_RETRIES_PER_REQUEST
     """Retries that each request adds to the retry budget of this node."""
 
@@ -302,6 +310,12 @@
         ('--retry-extra', settings.retry_extra, 0, 100_000),
         ('--retry-window', settings.retry_window, 1, 600),
         ('--grace', settings.grace, 1, 600),
+        (
+            '--body-memory',
+            settings.body_memory,
+            MIN_BODY_MEMORY_MEGABYTES,
+            MAX_BODY_MEMORY_MEGABYTES,
+        ),
     )
     return [
         SettingsError(flag, str(given), f'a number from {minimum} to {maximum}')
--- a/packages/node/src/kumquathold_node/transport.py
+++ b/packages/node/src/kumquathold_node/transport.py
@@ -18,14 +18,16 @@
 import pynng
 from loguru import logger
 
-from kumquathold_core import wire
+from kumquathold_core import forwarding, wire
+from kumquathold_core.reassembly import split_body
 from kumquathold_node.kernel import Task
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.supervision import Supervisor
 
 if TYPE_CHECKING:
     from kumquathold_core.forwarding import BodyChunk
-    from kumquathold_core.identity import RequestId
+
+    BodyMessage = forwarding.ForwardRequest | forwarding.ForwardResponse
 
 MAX_FRAME_BYTES = 1024 * 1024
 SEND_BUFFER_FRAMES = 64
@@ -129,21 +131,27 @@
     def send_with_body(
         self,
         receiver: str,
-        first_message: wire.Message,
-        chunks: Iterator[tuple[int, bytes]],
+        message: BodyMessage,
+        body: bytes,
         chunk_type: type[BodyChunk],
-        request_id: RequestId,
     ) -> None:
-        """Send a message and the other chunks of its body.
+        """Send a message with its body, in chunks unless it is for this node.
 
-        `chunks` are the offsets, in bytes, and contents. Waits while the peer
-        is slow to accept them; raises `NotSent`, e.g. if it accepts nothing
-        for `BODY_SEND_TIMEOUT_MS`.
+        Waits while the peer is slow to accept them; raises `NotSent`, e.g. if
+        it accepts nothing for `BODY_SEND_TIMEOUT_MS`.
         """
-        self._send(receiver, first_message, block=True)
-        for offset, chunk in chunks:
-            message = chunk_type(request=request_id, offset=offset, chunk=chunk)
-            self._send(receiver, message, block=True)  # type: ignore[arg-type]
+        if receiver == self.address:
+            whole = msgspec.structs.replace(message, body=body)
+            self._send(receiver, whole, block=True)
+            return
+        first, rest = split_body(body)
+        head = msgspec.structs.replace(message, body=first)
+        self._send(receiver, head, block=True)
+        for offset, chunk in rest:
+            part = chunk_type(
+                request=message.request, offset=offset, chunk=chunk
+            )
+            self._send(receiver, part, block=True)  # type: ignore[arg-type]
 
     def reset(self, receiver: str, opened_before: float = math.inf) -> None:
         """Close the connection to a peer; the next send opens a new one.
--- a/packages/node/src/kumquathold_node/upstream_calls.py
+++ b/packages/node/src/kumquathold_node/upstream_calls.py
@@ -18,6 +18,7 @@
 
 from kumquathold_core.forwarding import ForwardRequest, Outcome, Refusal
 from kumquathold_node import upstream_probes
+from kumquathold_node.body_memory import BodyMemory, Reservation
 from kumquathold_node.connection_pool import ConnectionPool
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.response_statements import (
@@ -25,8 +26,8 @@
     read_statement,
 )
 from kumquathold_node.upstream_responses import (
+    MAX_RESPONSE_BYTES,
     ForeignResponse,
-    ResponseMemory,
     UpstreamConnection,
     UpstreamResponse,
     read_body,
@@ -98,16 +99,16 @@
         address: str,
         name: str = '',
         dialect: UpstreamDialect | None = None,
-        memory: ResponseMemory | None = None,
+        memory: BodyMemory | None = None,
     ) -> None:
         """Set up an empty pool without connecting.
 
-        `memory` is shared by the upstreams whose bodies it bounds together.
+        `memory` is shared by all whose bodies it bounds together.
         """
         self.address = address
         self.name = name or address
         self.dialect = dialect or UpstreamDialect()
-        self.memory = memory or ResponseMemory()
+        self.memory = memory or BodyMemory(MAX_RESPONSE_BYTES)
         self.pool = ConnectionPool()
         self.running: dict[object, UpstreamConnection] = {}
         self.lock = threading.Lock()
@@ -254,13 +255,17 @@
             names_request = self._names_request(response, message)
             if is_reused and not names_request:
                 raise ForeignResponse('response without an id')
-            content = read_body(response, message.method, self.memory)
+            reservation = Reservation(self.memory)
+            content = read_body(
+                response, message.method, reservation, message.deadline
+            )
             return self._make_response(
                 response,
                 message,
                 content,
                 monotonic() - started,
                 statement,
+                reservation,
                 names_request=names_request,
             )
 
@@ -271,6 +276,7 @@
         content: bytes,
         seconds: float,
         statement: ResponseStatement,
+        reservation: Reservation,
         *,
         names_request: bool,
     ) -> UpstreamResponse:
@@ -286,6 +292,7 @@
             keep_alive=response.getheader('Keep-Alive', ''),
             names_request=names_request,
             statement=statement,
+            reservation=reservation,
         )
 
     def _names_request(
--- a/packages/node/src/kumquathold_node/upstream_responses.py
+++ b/packages/node/src/kumquathold_node/upstream_responses.py
@@ -1,27 +1,24 @@
 """Reading of upstreams' responses, within bounds on their size and time.
 
-Beside the bounds of each response, all the bodies that a node reads at the same
-time have a largest size.
+Beside the bounds of each response, all the bodies that a process holds at the
+same time have a largest size.
 """
 
 from __future__ import annotations
 
 import http.client
-import threading
-from collections.abc import Iterator
-from contextlib import contextmanager
+import io
+from time import monotonic
 
 import msgspec
 
 from kumquathold_core.forwarding import Headers
+from kumquathold_node.body_memory import BodyMemoryFull, Reservation
 from kumquathold_node.bounded_http import BoundedConnection, ResponseTooLarge
 from kumquathold_node.response_statements import ResponseStatement
 
 MAX_RESPONSE_BYTES = 67_108_864
-MAX_READING_BYTES = 67_108_864
-"""Size of all bodies that a node reads at the same time."""
-
-READ_CHUNK_BYTES = 262_144
+READ_CHUNK_BYTES = 65_536
 BODILESS_STATUSES = frozenset(
     (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 )
@@ -69,59 +66,8 @@
     statement: ResponseStatement | None = None
     """What it states about the upstream; `None` if it is a stored one."""
 
-
-class ResponseMemory:
-    """Counts the bytes of all bodies being read, up to a limit; thread-safe."""
-
-    def __init__(self, limit: int = MAX_READING_BYTES) -> None:
-        """Start empty, with a limit in bytes."""
-        self.limit = limit
-        self.reserved = 0
-        self.lock = threading.Lock()
-
-    def reserve(self, size: int) -> None:
-        """Add bytes; raises `ResponseTooLarge` if they pass the limit."""
-        with self.lock:
-            if self.reserved + size > self.limit:
-                raise ResponseTooLarge(
-                    f'bodies being read exceed {self.limit} bytes'
-                )
-            self.reserved += size
-
-    def release(self, size: int) -> None:
-        """Remove bytes that were reserved."""
-        with self.lock:
-            self.reserved -= size
-
-
-class BodyReservation:
-    """The part of a `ResponseMemory` that one body takes up."""
-
-    def __init__(self, memory: ResponseMemory) -> None:
-        """Start empty."""
-        self.memory = memory
-        self.size = 0
-
-    def grow(self, size: int) -> None:
-        """Add bytes; raises `ResponseTooLarge` if they pass the limit."""
-        self.memory.reserve(size)
-        self.size += size
-
-
-@contextmanager
-def reserving(memory: ResponseMemory) -> Iterator[BodyReservation]:
-    """Yield a reservation for a body, and release it as the block ends.
-
-    Example:
-        with reserving(memory) as reservation:
-            reservation.grow(len(chunk))
-
-    """
-    reservation = BodyReservation(memory)
-    try:
-        yield reservation
-    finally:
-        memory.release(reservation.size)
+    reservation: Reservation | None = None
+    """Memory for its body; `None` if it is a stored one."""
 
 
 class UpstreamConnection(BoundedConnection):
@@ -137,32 +83,57 @@
 def read_body(
     response: http.client.HTTPResponse,
     method: str,
-    memory: ResponseMemory,
+    reservation: Reservation,
+    deadline: float,
 ) -> bytes:
-    """Read the whole body; raises `HTTPException` if it is cut or too large."""
-    length = response.length
-    has_body = method != 'HEAD' and response.status not in BODILESS_STATUSES
-    if has_body and length is not None and length > MAX_RESPONSE_BYTES:
-        raise ResponseTooLarge(f'response body of {length} bytes too large')
-    with reserving(memory) as reservation:
-        body = b''.join(_read_chunks(response, reservation))
-    if has_body and length is not None and length != len(body):
-        raise http.client.IncompleteRead(b'', length - len(body))
+    """Read the whole body; raises `HTTPException` if it is cut or too large.
+
+    A body of a stated length waits until there is memory for it, at most until
+    `deadline`, in seconds of the monotonic clock.
+    """
+    stated = _find_stated_length(response, method)
+    if stated is not None and stated > MAX_RESPONSE_BYTES:
+        raise ResponseTooLarge(f'response body of {stated} bytes too large')
+    buffer = io.BytesIO()
+    try:
+        reservation.grow(stated or 0, timeout=deadline - monotonic())
+        _read_chunks(response, buffer, reservation)
+    except Exception as error:
+        # Its traceback would keep the bytes as long as somebody keeps it.
+        buffer.close()
+        reservation.release()
+        if isinstance(error, BodyMemoryFull):
+            raise ResponseTooLarge(str(error)) from error
+        raise
+    body = buffer.getvalue()
+    if stated is not None and stated != len(body):
+        raise http.client.IncompleteRead(b'', stated - len(body))
     return body
 
 
+def _find_stated_length(
+    response: http.client.HTTPResponse, method: str
+) -> int | None:
+    """Return the length that a response with a body states, if it does."""
+    if method == 'HEAD' or response.status in BODILESS_STATUSES:
+        return None
+    return response.length
+
+
 def _read_chunks(
     response: http.client.HTTPResponse,
-    reservation: BodyReservation,
-) -> Iterator[bytes]:
+    buffer: io.BytesIO,
+    reservation: Reservation,
+) -> None:
     while True:
         chunk = response.read(READ_CHUNK_BYTES)
         if not chunk:
             return
-        reservation.grow(len(chunk))
-        if reservation.size > MAX_RESPONSE_BYTES:
+        size = buffer.tell() + len(chunk)
+        if size > MAX_RESPONSE_BYTES:
             raise ResponseTooLarge('response body too large')
-        yield chunk
+        reservation.grow(max(0, size - reservation.size))
+        buffer.write(chunk)
 
 
 def strip_hop_by_hop_headers(headers: list[tuple[str, str]]) -> Headers:
--- a/packages/node/src/kumquathold_node/upstream_roster.py
+++ b/packages/node/src/kumquathold_node/upstream_roster.py
@@ -20,6 +20,7 @@
 from kumquathold_core.first_announcements import FirstAnnouncements
 from kumquathold_core.identity import UpstreamRecord
 from kumquathold_node.announcements import AnnouncedEvent, DeregisteredEvent
+from kumquathold_node.body_memory import BodyMemory
 from kumquathold_node.departure_records import DepartureRecords
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.kernel import Kernel
@@ -27,7 +28,6 @@
 from kumquathold_node.membership_messages import UpstreamsChangedEvent
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner_requests import Upstream
-from kumquathold_node.upstream_responses import ResponseMemory
 
 MAX_LIMIT_RATIO = 1.5
 """Ratio of two limits up to which the second is not published."""
@@ -51,7 +51,7 @@
         self.metrics: Metrics = kernel.find('metrics')
         self.dialect = dialect
         self.refuse_waiting = refuse_waiting
-        self.response_memory = ResponseMemory()
+        self.body_memory: BodyMemory = kernel.find('body-memory')
         self.departure_records: DepartureRecords = kernel.find(
             'departure-records'
         )
@@ -88,7 +88,7 @@
                 record,
                 announced.expires_at,
                 self.dialect,
-                self.response_memory,
+                self.body_memory,
             )
             self.upstreams[record.name] = upstream
             self._publish('upstream announced', record)
--- a/tests/owner_stage.py
+++ b/tests/owner_stage.py
@@ -17,6 +17,7 @@
 from kumquathold_core.identity import RequestId, UpstreamRecord
 from kumquathold_core.wire import Envelope
 from kumquathold_node.announcements import AnnouncedEvent
+from kumquathold_node.body_memory import BodyMemory
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership_messages import (
@@ -35,9 +36,11 @@
     'claims',
     'departure-records',
     'metrics',
+    'pending-requests',
 )
 DEADLINE_SECONDS = 60.0
 EXPIRY_SECONDS = 600.0
+BODY_MEMORY_BYTES = 1_000_000
 
 
 class OwnerStage:
@@ -51,6 +54,7 @@
         kernel.register('membership', self.membership)
         for name in SERVICES:
             kernel.register(name, mock.MagicMock())
+        kernel.register('body-memory', BodyMemory(BODY_MEMORY_BYTES))
         settings: Any = SimpleNamespace(
             retry_ratio=0.1, retry_extra=10.0, retry_window=10.0
         )
--- a/tests/test_upstream_trouble.py
+++ b/tests/test_upstream_trouble.py
@@ -17,10 +17,10 @@
 from kumquathold_core.forwarding import ForwardRequest, Outcome, Refusal
 from kumquathold_core.identity import RequestId, UpstreamRecord
 from kumquathold_node import owner_outcomes, upstream_probes
+from kumquathold_node.body_memory import BodyMemory
 from kumquathold_node.dialect import UpstreamDialect
 from kumquathold_node.owner_requests import OwnerRequest, Upstream
 from kumquathold_node.upstream_calls import CallFailed, UpstreamCalls
-from kumquathold_node.upstream_responses import ResponseMemory
 from tests.test_jobs import WORK
 
 OK_HEAD = b'HTTP/1.1 200 OK\r\n'
@@ -145,7 +145,7 @@
                 self.check(upstream)
 
     def check(self, upstream: RawUpstream) -> None:
-        memory = ResponseMemory(MEMORY_LIMIT_BYTES)
+        memory = BodyMemory(MEMORY_LIMIT_BYTES)
         calls = UpstreamCalls(upstream.address, memory=memory)
         work = make_work()
         tracemalloc.start()
@@ -156,7 +156,7 @@
         late = time.monotonic() - work.deadline
         self.assertLess(late, LATENESS_SECONDS)
         self.assertLess(peak, MAX_PEAK_BYTES)
-        self.assertEqual(memory.reserved, 0)
+        self.assertEqual(memory.used, 0)
         self.assertEqual(failed.exception.outcome, Outcome.unknown)
         self.assertFalse(failed.exception.crashed)
         self.assertIn(
