--- a/tests/test_lost_fleet.py
+++ b/tests/test_lost_fleet.py
@@ -6,13 +6,16 @@
 
 from __future__ import annotations
 
+import json
 import time
 import unittest
 
 from kumquathold_standins.loopback import wait_until
 from tests.test_site_node import SiteNode, running_node
+from tests.test_site_platform import make_config
 
 UNAVAILABLE = 503
+UNAUTHORIZED = 401
 LATE_SECONDS = 3.0
 """Time after the start by which a running upstream has sent a heartbeat."""
 
@@ -77,6 +80,35 @@
         self.check_stays_out()
         self.check_next_process_is_used()
 
+    def test_withdrawn_key_stays_refused(self) -> None:
+        """Without the store the node knows no configuration, not an old one."""
+        send = self.node.send
+        self.assertEqual(send('POST', '/holds/x').status, 200)
+        config = json.loads(make_config(configVersion='000000f0'))
+        config['tenants'][0]['apiKeys'] = ['another-key']
+        self.node.store.put('op/config', json.dumps(config).encode())
+        wait_until(
+            lambda: send('POST', '/holds/x').status == UNAUTHORIZED,
+            'withdrawal of the key',
+        )
+        self.node.store.refuse_status = UNAVAILABLE
+        self.node.process.kill()
+        self.node.process.wait()
+        self.node.start_process()
+        wait_until(
+            lambda: send('POST', '/holds/x').status == UNAVAILABLE,
+            'refusal without a configuration',
+        )
+        self.node.store.refuse_status = 0
+        statuses: list[int] = []
+
+        def is_refused() -> bool:
+            statuses.append(send('POST', '/holds/x').status)
+            return statuses[-1] == UNAUTHORIZED
+
+        wait_until(is_refused, 'refusal of the key')
+        self.assertLessEqual(set(statuses), {UNAVAILABLE, UNAUTHORIZED})
+
     def test_upstream_that_stayed_is_used_at_once(self) -> None:
         self.node.restart()
         self.assertEqual(self.node.send_heartbeat(), 200)
