Leave threads of an ingress to services that are not short of slots

Cause: a request holds a thread of its ingress until it is answered, also while it waits in the queue of an owner. When one service is short of slots, its requests take all threads, and the others wait for one beyond their deadlines.

Change: `ThreadShares`, a decision without a network. What is beyond is refused at once with 503, not run, and a drawn time to return.

--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -9,8 +9,10 @@
 
 import math
 import random
+from collections.abc import Iterator
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
+from contextlib import contextmanager
 from http import HTTPStatus
 from time import monotonic, sleep
 
@@ -28,6 +30,7 @@
     Workspace,
     authenticate_key,
 )
+from kumquathold_core.thread_shares import ThreadShares
 from kumquathold_node import caller_requests
 from kumquathold_node.attempts import AdmittedRequest, Attempt, AttemptContext
 from kumquathold_node.balancer import Balancer
@@ -59,6 +62,12 @@
 NESTED_CALL_RANK = -1
 """Priority of requests that upstreams make while they run a request."""
 
+THREAD_RETRY_SECONDS = (0.5, 1.5)
+"""Range of the time after which callers may retry that found no thread.
+
+Drawn for each, so that they do not return all at once.
+"""
+
 RETURNED_REFUSALS = REROUTED_REFUSALS | {Refusal.retry_budget}
 """Refusals by which an owner says that others may take the request."""
 
@@ -135,6 +144,7 @@
         self.call_failures: CallFailures = kernel.find('call-failures')
         self.rate_client: RateClient = kernel.find('rate-client')
         self.metrics: Metrics = kernel.find('metrics')
+        self.thread_shares = ThreadShares(settings.threads)
         self.budget_spent_at: dict[str, float] = {}
         kernel.register('ingress', self)
 
@@ -142,6 +152,10 @@
         """Return the response to a request; raises `RequestRefused`."""
         with self.metrics.timed('ingress.admission'):
             admitted = self._admit(request)
+        with self._holding_thread(admitted):
+            return self._run_admitted(admitted)
+
+    def _run_admitted(self, admitted: AdmittedRequest) -> CallerResponse:
         if admitted.rank != NESTED_CALL_RANK:
             return self._run_attempts(admitted)
         try:
@@ -153,6 +167,25 @@
             self.call_failures.record_failure()
         return response
 
+    @contextmanager
+    def _holding_thread(self, admitted: AdmittedRequest) -> Iterator[None]:
+        """Count the thread of a request to its service while the block runs.
+
+        Raises `RequestRefused` if the service holds too many threads.
+        """
+        service = admitted.service.name
+        is_nested = admitted.rank == NESTED_CALL_RANK
+        if not self.thread_shares.enter(service, is_nested=is_nested):
+            self.metrics.count('ingress.thread_share_spent')
+            raise RequestRefused(
+                Refusal.overloaded,
+                retry_after=self.rng.uniform(*THREAD_RETRY_SECONDS),
+            )
+        try:
+            yield
+        finally:
+            self.thread_shares.leave(service)
+
     def _admit(self, request: CallerRequest) -> AdmittedRequest:
         self.configuration.is_in_force.wait(STARTUP_TIMEOUT_SECONDS)
         configuration = self.configuration.current
