Resize the memory of one body by one thread at a time

Cause: the thread that fills the buffer of a connection and the one that empties it both resize its reservation. `resize` read the size, added the difference and stored the size without a lock, so some bytes stayed counted for ever, and the budget would have shrunk.

--- a/packages/node/src/kumquathold_node/body_memory.py
+++ b/packages/node/src/kumquathold_node/body_memory.py
@@ -91,9 +91,13 @@
             self.release()
 
     def resize(self, size: int) -> None:
-        """Count another number of bytes, which are held already."""
-        self.memory.add(size - self.size)
-        self.size = size
+        """Count another number of bytes, which are held already.
+
+        The threads that fill and empty one buffer may call it at once.
+        """
+        with self.memory.changed:
+            self.memory.add(size - self.size)
+            self.size = size
 
     def release(self) -> None:
         """Give back all bytes; may be called again."""
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import sys
 import threading
 import unittest
 from collections.abc import Iterable
@@ -82,6 +83,26 @@
         threading.Timer(0.1, kept.clear).start()
         self.reserve(LARGE_BYTES, timeout=10.0)
 
+    def test_threads_that_resize_one_at_once_leave_nothing_behind(
+        self,
+    ) -> None:
+        kept = Reservation(self.memory)
+
+        def resize() -> None:
+            for size in range(20_000):
+                kept.resize(size % 7)
+
+        switch_interval = sys.getswitchinterval()
+        self.addCleanup(sys.setswitchinterval, switch_interval)
+        sys.setswitchinterval(1e-6)
+        threads = [threading.Thread(target=resize) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        kept.release()
+        self.assertEqual(self.memory.used, 0)
+
     def test_body_beyond_the_limit_does_not_wait(self) -> None:
         with self.assertRaises(BodyMemoryFull):
             self.reserve(LIMIT_BYTES + 1, timeout=1e6)
