Write no departure of a process that tells no start

A `draining` heartbeat without `born` wrote a key for the lifetime 0, which no later step can use. test_process_without_a_start_is_not_written fails without the change.

--- a/packages/node/src/kumquathold_node/departure_records.py
+++ b/packages/node/src/kumquathold_node/departure_records.py
@@ -83,7 +83,12 @@
         kernel.add_task(self.task)
 
     def record(self, name: str, lifetime: int) -> None:
-        """Begin to write a departure, unless it is written already."""
+        """Begin to write a departure, unless it is written already.
+
+        Without a `lifetime` (0) the next process could not be told apart.
+        """
+        if not lifetime:
+            return
         departure = Departure(name, lifetime)
         with self.changed:
             if departure in self.written or departure in self.unwritten:
--- a/packages/node/src/kumquathold_node/upstream_roster.py
+++ b/packages/node/src/kumquathold_node/upstream_roster.py
@@ -208,8 +208,7 @@
     def _record_departure(self, name: str, lifetime: int) -> None:
         """Record that a process has left, here and in the store."""
         self.announcement_tracker.record_deregistration(name, lifetime)
-        if lifetime:
-            self.departure_records.record(name, lifetime)
+        self.departure_records.record(name, lifetime)
 
     def _record_left(self, name: str, lifetime: int) -> list[Upstream]:
         """Record that a process had left before this node started.
--- a/tests/test_departure_records.py
+++ b/tests/test_departure_records.py
@@ -74,6 +74,10 @@
         self.leave()
         self.assertEqual(self.site.calls.count('txn'), 1)
 
+    def test_process_without_a_start_is_not_written(self) -> None:
+        self.leave('u', 0)
+        self.assertEqual(self.site.calls.count('txn'), 0)
+
     def test_store_that_is_away_gets_it_later(self) -> None:
         self.site.refuse_status = UNAVAILABLE
         self.leave()
