Serve callers of a starting node while the store is away

Cause: a start waited up to 1 s for the departures in the store before it served anything, its health address included. Only announcements need them, so callers, health and administration are served first now. Found in reading the diff, not seen in a play; test_lost_fleet and test_site_node pass.

Bodies up to 16 KB within one process no longer have their memory handed over: they always fit, and each took a further message.

--- a/packages/node/src/kumquathold_node/main.py
+++ b/packages/node/src/kumquathold_node/main.py
@@ -24,8 +24,10 @@
 from kumquathold_node.allocator import limit_retained_memory
 from kumquathold_node.caller_server import make_caller_app
 from kumquathold_node.composition import assemble
+from kumquathold_node.departure_records import DepartureRecords
 from kumquathold_node.health import make_health_app
 from kumquathold_node.http_server import serving
+from kumquathold_node.kernel import Kernel
 from kumquathold_node.membership_messages import ListeningEvent
 from kumquathold_node.metrics import make_metrics_app
 from kumquathold_node.seeds import Seeds
@@ -59,18 +61,13 @@
     with ExitStack() as stack:
         stack.enter_context(transport.listening())
         stack.enter_context(kernel.running())
-        kernel.find('departure-records').read_at_start(
-            DEPARTURES_TIMEOUT_SECONDS
-        )
         apps = [
-            (adapter.make_announcement_app(kernel), settings.announce),
             (make_health_app(kernel, adapter.caller_dialect), settings.health),
             (make_metrics_app(kernel.find('metrics')), settings.metrics),
         ]
         for app, address in apps:
             if address:
                 stack.enter_context(serving(app, address, ANNOUNCE_THREADS))
-        kernel.find('owner').task.post(ListeningEvent())
         stack.enter_context(
             serving(
                 make_administration_app(kernel, settings),
@@ -88,6 +85,7 @@
                 adapter.caller_dialect,
             ),
         )
+        _listen_to_upstreams(kernel, adapter, settings, stack)
         seeds.join()
         logger.info('node started', zone=settings.zone, region=settings.region)
         _run_shutdown(shutdown)
@@ -95,6 +93,20 @@
     logger.info('node stopped')
 
 
+def _listen_to_upstreams(
+    kernel: Kernel, adapter: Adapter, settings: Settings, stack: ExitStack
+) -> None:
+    """Take announcements, once it is known which upstreams had left.
+
+    Callers are served meanwhile, as the store may be away.
+    """
+    records: DepartureRecords = kernel.find('departure-records')
+    records.read_at_start(DEPARTURES_TIMEOUT_SECONDS)
+    app = adapter.make_announcement_app(kernel)
+    stack.enter_context(serving(app, settings.announce, ANNOUNCE_THREADS))
+    kernel.find('owner').task.post(ListeningEvent())
+
+
 def _handle_signals(shutdown: GracefulShutdown) -> None:
     def begin_shutdown(*_: object) -> None:
         shutdown.begin()
--- a/packages/node/src/kumquathold_node/owner_replies.py
+++ b/packages/node/src/kumquathold_node/owner_replies.py
@@ -14,7 +14,7 @@
 from kumquathold_core.forwarding import Outcome, Refusal
 from kumquathold_core.identity import RequestId
 from kumquathold_core.request_registry import RequestEntry, RequestState
-from kumquathold_node.body_memory import Reservation
+from kumquathold_node.body_memory import SMALL_BODY_BYTES, Reservation
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner_requests import OwnerRequest, Upstream
 from kumquathold_node.pending_requests import ReservedBodyEvent
@@ -83,7 +83,9 @@
         reservation: Reservation | None = None,
     ) -> None:
         """Send a response; if large, from a worker thread."""
-        if reservation is not None and receiver == self.transport.address:
+        is_local = receiver == self.transport.address
+        is_large = len(body) > SMALL_BODY_BYTES
+        if reservation is not None and is_local and is_large:
             self.hand_over(ReservedBodyEvent(response.request, reservation))
         if len(body) <= forwarding.BODY_CHUNK_BYTES:
             whole = msgspec.structs.replace(response, body=body)
