--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -14,6 +14,7 @@
 from kumquathold_node.ingress import Ingress
 
 DEADLINE_SECONDS = 5.0
+THREADS = 8
 
 
 class DepartedCallerTest(unittest.TestCase):
@@ -21,7 +22,9 @@
 
     def setUp(self) -> None:
         self.kernel = mock.MagicMock()
-        settings: Any = SimpleNamespace(peer='10.0.0.1:1', service='')
+        settings: Any = SimpleNamespace(
+            threads=THREADS, peer='10.0.0.1:1', service=''
+        )
         dialect: Any = SimpleNamespace(caller_service='')
         self.ingress = Ingress(self.kernel, settings, dialect)
         gate = SimpleNamespace(give_up_at=math.inf)
