Order the requests of equal workspaces by the priority of their routes

Cause: a workspace's priority replaced the route's. Where all workspaces have one, as in the users' configurations, the least urgent route competed with the most urgent one as an equal.

Change: the workspace's priority counts first, then the route's.

--- a/packages/core/src/kumquathold_core/rules.py
+++ b/packages/core/src/kumquathold_core/rules.py
@@ -142,7 +142,7 @@
     """Weight in the fair queue of an upstream."""
 
     priority: int | None = None
-    """Priority of queued requests; replaces the route's where given."""
+    """Priority of queued requests, which counts before the route's."""
 
     regions: tuple[str, ...] = ()
     """Regions that may serve and store its requests; empty for all."""
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -23,6 +23,7 @@
     find_permitted_regions,
 )
 from kumquathold_core.placement import DEFAULT_OBJECTIVE_SECONDS
+from kumquathold_core.ranks import NESTED_CALL_RANK
 from kumquathold_core.retries import AttemptFailure
 from kumquathold_core.thread_shares import ThreadShares
 from kumquathold_node.attempts import AdmittedRequest, Attempt, AttemptContext
@@ -38,10 +39,7 @@
 from kumquathold_node.location_policy import find_current_regions
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner_requests import CallFailures
-from kumquathold_node.request_admission import (
-    NESTED_CALL_RANK,
-    RequestAdmission,
-)
+from kumquathold_node.request_admission import RequestAdmission
 from kumquathold_node.selections import Selection, SelectionRequest
 from kumquathold_node.settings import Settings
 
--- a/packages/node/src/kumquathold_node/request_admission.py
+++ b/packages/node/src/kumquathold_node/request_admission.py
@@ -13,7 +13,7 @@
 
 from loguru import logger
 
-from kumquathold_core import routing, wire
+from kumquathold_core import ranks, routing, wire
 from kumquathold_core.forwarding import Headers, Refusal
 from kumquathold_core.freshness_tracker import FreshnessState
 from kumquathold_core.rules import (
@@ -40,9 +40,6 @@
 if TYPE_CHECKING:
     from kumquathold_node.caller_server import RequestGate
 
-NESTED_CALL_RANK = -1
-"""Priority of requests that upstreams make while they run a request."""
-
 LEAVING_RETRY_SECONDS = 0.1
 """Seconds after which callers that a draining node refuses may retry."""
 
@@ -194,14 +191,11 @@
     route: Route,
     workspace: Workspace | None,
 ) -> int:
-    """Return the priority of a request; nested calls come first.
+    """Return the rank of a request; nested calls come first.
 
-    A nested call is made by an upstream while it runs a request, and a refusal
-    wastes that run. Such calls carry no key: if there are workspaces, requests
-    on public routes count as nested calls.
+    They carry no key: if there are workspaces, requests on public routes count
+    as nested calls.
     """
     if workspace is None and configuration.rules.workspaces:
-        return NESTED_CALL_RANK
-    if workspace is not None and workspace.priority is not None:
-        return workspace.priority
-    return route.priority
+        return ranks.NESTED_CALL_RANK
+    return ranks.rank_request(route, workspace)
