Return the queue of an upstream that turns suspect

Cause: an upstream that fails requests within milliseconds emptied its queue before the ingresses knew.

Change: the owner returns the queue, unrun, with the failure that makes the upstream suspect; the ingresses place the requests anew.

--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -336,12 +336,8 @@
             self.call_failures,
         )
         if upstream is not None and not is_excused:
-            owner_outcomes.record_outcome(
-                upstream,
-                request,
-                self.metrics,
-                seconds=response.seconds,
-                failed=is_failure,
+            self._record_outcome(
+                upstream, request, response.seconds, failed=is_failure
             )
         if not is_failure:
             self.crash_reports.record_success(request)
@@ -361,7 +357,7 @@
         request.is_slot_free = True
         upstream = self.upstreams.get(request.message.upstream)
         if upstream is not None:
-            owner_outcomes.record_failure(upstream, request, self.metrics)
+            self._record_failure(upstream, request)
         self._free_slot(request)
 
     def on_call_failed(self, failed: CallFailedEvent) -> None:
@@ -376,7 +372,7 @@
             and not is_counted
             and owner_outcomes.is_gray_failure(upstream, request, failure)
         ):
-            owner_outcomes.record_failure(upstream, request, self.metrics)
+            self._record_failure(upstream, request)
         if failure.crashed and owner_outcomes.may_have_crashed(
             upstream, request
         ):
@@ -396,6 +392,32 @@
             crashed=failure.crashed,
         )
 
+    def _record_failure(
+        self, upstream: Upstream, request: OwnerRequest
+    ) -> None:
+        self._record_outcome(upstream, request, 0.0, failed=True)
+
+    def _record_outcome(
+        self,
+        upstream: Upstream,
+        request: OwnerRequest,
+        seconds: float,
+        *,
+        failed: bool,
+    ) -> None:
+        """Update the upstream's risk; return its queue once it is suspect.
+
+        An upstream that fails requests at once would empty the queue within
+        milliseconds, and most of what waits there cannot be repeated.
+        """
+        is_suspected = owner_outcomes.record_outcome(
+            upstream, request, self.metrics, seconds=seconds, failed=failed
+        )
+        if is_suspected:
+            self._return_queued(
+                upstream, upstream.queue.items(), Refusal.upstream_suspect
+            )
+
     def _record_statement(
         self,
         request: OwnerRequest,
--- a/packages/node/src/kumquathold_node/owner_outcomes.py
+++ b/packages/node/src/kumquathold_node/owner_outcomes.py
@@ -36,10 +36,11 @@
     *,
     seconds: float,
     failed: bool,
-) -> None:
+) -> bool:
     """Update failure risk and service time with the outcome of a call.
 
-    `seconds` is the service time, which is ignored for a failed call.
+    `seconds` is the service time, which is ignored for a failed call. Returns
+    whether the upstream has become suspect.
     """
     now = monotonic()
     was_suspect = upstream.failure_risk.is_suspect(now)
@@ -67,13 +68,7 @@
             request=request.message.caller_id,
         )
     end_trial(upstream, request)
-
-
-def record_failure(
-    upstream: Upstream, request: OwnerRequest, metrics: Metrics
-) -> None:
-    """Update failure risk with a call that got no usable response."""
-    record_outcome(upstream, request, metrics, seconds=0, failed=True)
+    return is_suspect and not was_suspect
 
 
 def may_stem_from_failed_call(
--- a/tests/test_owner_beliefs.py
+++ b/tests/test_owner_beliefs.py
@@ -5,8 +5,9 @@
 import unittest
 
 from kumquathold_core.forwarding import Outcome, Refusal
-from kumquathold_node.owner_calls import CallFailedEvent
+from kumquathold_node.owner_calls import CallFailedEvent, CallSucceededEvent
 from kumquathold_node.upstream_calls import CallFailed
+from kumquathold_node.upstream_responses import UpstreamResponse
 from tests.owner_stage import OwnerStage
 
 
@@ -26,5 +27,27 @@
         self.assertTrue(published.ready)
 
 
+class SuspectQueueTest(unittest.TestCase):
+    """An upstream that turns gray fails each request within milliseconds."""
+
+    def test_queue_is_returned_and_not_run_by_a_suspect_upstream(self) -> None:
+        """It would fail the whole queue, most of which cannot be repeated."""
+        stage = OwnerStage.for_test(self)
+        upstream = stage.announce()
+        assert upstream is not None
+        for number in range(1, 5):
+            stage.send(number)
+        failed = UpstreamResponse(500, (), b'', 0.001)
+        stage.owner.on_call_succeeded(
+            CallSucceededEvent(stage.started[0], failed)
+        )
+        self.assertEqual(len(stage.started), 1)
+        failures = stage.list_failures()
+        self.assertEqual([one.request.number for one in failures], [2, 3, 4])
+        for failure in failures:
+            self.assertEqual(failure.outcome, Outcome.not_run)
+            self.assertEqual(failure.reason, Refusal.upstream_suspect)
+
+
 if __name__ == '__main__':
     unittest.main()
