Exchange the loads of upstreams on heartbeats

Cause: an ingress sends less than one request a second, so that it knows little of upstreams' loads and nothing beyond its zone: nearly each request was returned by an owner at least once, and left its zone or waited by chance.

Change: heartbeats carry the newest loads (--load-reports, 0 by default); an owner keeps a request for as long as the next best upstream would not be better.

--- a/packages/core/src/kumquathold_core/gossip.py
+++ b/packages/core/src/kumquathold_core/gossip.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from kumquathold_core.identity import NodeRecord
+from kumquathold_core.load_table import LoadReport
 from kumquathold_core.zone_evacuations import EvacuationReading
 
 
@@ -69,6 +70,9 @@
     evacuations: EvacuationReading | None = None
     """Zones that the sender read as evacuated, if it ever read of any."""
 
+    loads: tuple[LoadReport, ...] = ()
+    """Loads of upstreams, if nodes exchange them."""
+
 
 class Pong(msgspec.Struct, frozen=True, array_like=True, tag='pong'):
     """The response to a heartbeat."""
@@ -97,6 +101,9 @@
     evacuations: EvacuationReading | None = None
     """Zones that the sender read as evacuated, if it ever read of any."""
 
+    loads: tuple[LoadReport, ...] = ()
+    """Loads of upstreams, if nodes exchange them."""
+
 
 class IndirectPingRequest(
     msgspec.Struct,
--- a/packages/core/src/kumquathold_core/placement.py
+++ b/packages/core/src/kumquathold_core/placement.py
@@ -28,6 +28,7 @@
 
 from kumquathold_core import admission, failure_risk, smoothing
 from kumquathold_core.candidates import Candidate, rank_distance
+from kumquathold_core.load_table import KnownLoad
 from kumquathold_core.rules import ZoneScope
 from kumquathold_core.start_limiter import MIN_STARTS_PER_SECOND
 
@@ -55,6 +56,12 @@
 
 DEFAULT_OBJECTIVE_SECONDS = 1.0
 TIE_BREAK_COST = 0.02
+WAIT_MARGIN_SHARE = 0.1
+"""Share of the objective by which a wait may exceed what was estimated."""
+
+EXCHANGED_STEADY_SECONDS = 2.0
+"""Time in which a newer exchanged load is expected to arrive."""
+
 IDLE_SECONDS = 1.0
 """Age of a report from which an upstream of the zone gets a trial request."""
 
@@ -77,6 +84,12 @@
     reported_at: float = 0.0
     """Time of that report, in seconds of the own monotonic clock."""
 
+    steady_seconds: float = 0.0
+    """Time after a report for which its backlog is taken to stay as it is."""
+
+    sent_since: int = 0
+    """Requests that this ingress has sent there since that report."""
+
     risk: float = failure_risk.risk_of(failure_risk.GRAY_SHARE)
     """Probability that it fails a request, from the same report."""
 
@@ -103,7 +116,8 @@
         self.may_start_at = 0.0 if limit is None else now + wait
 
     def record_send(self, now: float) -> None:
-        """Count a request of this ingress against the stated limit."""
+        """Count a request of this ingress, also against the stated limit."""
+        self.sent_since += 1
         if self.limit is not None:
             interval = 1 / max(self.limit, MIN_STARTS_PER_SECOND)
             self.may_start_at = max(self.may_start_at, now) + interval
@@ -111,9 +125,19 @@
     def record_report(self, backlog: int, risk: float, now: float) -> None:
         """Store the load that the owner reported."""
         self.backlog = backlog
+        self.sent_since = 0
         self.reported_at = now
         self.risk = risk
 
+    def record_exchanged(self, known: KnownLoad) -> None:
+        """Replace the report by a load that nodes exchanged, if it is newer."""
+        if known.measured_at <= self.reported_at:
+            return
+        self.steady_seconds = EXCHANGED_STEADY_SECONDS
+        self.record_report(known.backlog, known.risk, known.measured_at)
+        if known.service_seconds:
+            self.service_seconds = known.service_seconds
+
     def record_duration(self, seconds: float, usual: float, now: float) -> None:
         """Update the moving averages with the duration of a request.
 
@@ -169,14 +193,31 @@
         by_size = NETWORK_COST_PER_KILOBYTE[distance] * self.kilobytes
         return NETWORK_BASE_COST[distance] + by_size
 
+    @property
+    def delay_unit(self) -> float:
+        """Seconds by which delays are measured: the objective if not tiny."""
+        return max(self.objective, failure_risk.TRIAL_INTERVAL_SECONDS / 2)
+
     def estimate_delay_cost(self, seconds: float) -> float:
         """Return the cost of a response after `seconds`."""
-        share = seconds / max(
-            self.objective, failure_risk.TRIAL_INTERVAL_SECONDS / 2
-        )
+        share = seconds / self.delay_unit
         lateness = (share - SAFE_SHARE_OF_OBJECTIVE) / SAFE_SHARE_OF_OBJECTIVE
         return ON_TIME_COST * share + LATE_COST * min(max(lateness, 0), 1)
 
+    def find_delay(self, cost: float) -> float:
+        """Return the seconds of delay that have a cost.
+
+        The inverse of `estimate_delay_cost`; 0 for a cost below 0.
+        """
+        if cost <= ON_TIME_COST * SAFE_SHARE_OF_OBJECTIVE:
+            share = cost / ON_TIME_COST
+        elif cost >= LATE_COST + 2 * ON_TIME_COST * SAFE_SHARE_OF_OBJECTIVE:
+            share = (cost - LATE_COST) / ON_TIME_COST
+        else:
+            slope = ON_TIME_COST + LATE_COST / SAFE_SHARE_OF_OBJECTIVE
+            share = (cost + LATE_COST) / slope
+        return max(share, 0.0) * self.delay_unit
+
 
 def estimate_backlog(
     candidate: Candidate,
@@ -185,12 +226,16 @@
 ) -> float:
     """Return the expected number of requests running or queued at a candidate.
 
-    The reported backlog shrinks at the service rate of the upstream, but never
-    below the requests that this ingress has in flight there.
+    The reported backlog grows by what this ingress has sent since, and shrinks
+    at the service rate of the upstream, but never below the requests that this
+    ingress has in flight there. Where loads are exchanged, a recent report is
+    taken as it is: what is served meanwhile is replaced by what others send.
     """
     service_rate = candidate.slots / report.service_seconds
-    served = max(0, now - report.reported_at) * service_rate
-    return max(report.backlog - served, report.in_flight)
+    age = now - report.reported_at - report.steady_seconds
+    served = max(0, age) * service_rate
+    known = report.backlog + report.sent_since
+    return max(known - served, report.in_flight)
 
 
 def estimate_limit_wait(
@@ -212,6 +257,18 @@
     return max(assumed, report.may_start_at - now)
 
 
+def estimate_wait(
+    candidate: Candidate, report: LoadEstimate, backlog: float, now: float
+) -> float:
+    """Return the expected wait for a slot and for the limits to allow it."""
+    return max(
+        admission.estimate_slot_wait(
+            candidate.slots, backlog, report.service_seconds
+        ),
+        estimate_limit_wait(candidate, report, now),
+    )
+
+
 def is_due_for_trial(
     candidate: Candidate,
     report: LoadEstimate,
@@ -256,32 +313,60 @@
     backlog = estimate_backlog(candidate, report, now)
     if now - report.reported_at >= failure_risk.TRIAL_INTERVAL_SECONDS:
         backlog = max(backlog, min_backlog)
-    slots = candidate.slots
-    wait = max(
-        admission.estimate_slot_wait(slots, backlog, report.service_seconds),
-        estimate_limit_wait(candidate, report, now),
-    )
+    wait = estimate_wait(candidate, report, backlog, now)
     usual = request.usual_seconds
     seconds = usual * report.slowness_at(now)
     failure = FAILURE_COST
     if request.idempotent:
         failure = REPEATABLE_FAILURE_COST
     risk = report.risk_at(now) * failure
-    tie = TIE_BREAK_COST * min(backlog / slots, 1)
+    tie = TIE_BREAK_COST * min(backlog / candidate.slots, 1)
     delay = request.estimate_delay_cost(
         wait + seconds
     ) - request.estimate_delay_cost(usual)
     return delay + request.estimate_network_cost(candidate) + risk + tie
 
 
-def choose_cheapest(
+class Choice(msgspec.Struct, frozen=True):
+    """The cheapest candidate, and what the next one would cost."""
+
+    candidate: Candidate
+    """The cheapest one."""
+
+    cost: float
+    """Its cost."""
+
+    next_cost: float
+    """Cost of the next one, infinite if there is none."""
+
+
+def find_max_wait(
+    choice: Choice, wait: float, request: PlacementRequest
+) -> float:
+    """Return the seconds of wait up to which a choice stays the cheapest.
+
+    `wait` is the estimated one. Its owner returns the request if the actual
+    wait is longer. A little more than the estimate is always allowed, as a
+    return costs a message and the next owner may be as busy.
+    """
+    margin = WAIT_MARGIN_SHARE * request.delay_unit
+    if math.isinf(choice.next_cost):
+        return math.inf
+    usual = request.usual_seconds
+    delay_cost = request.estimate_delay_cost(wait + usual)
+    spare = choice.next_cost - choice.cost
+    longest = request.find_delay(delay_cost + spare) - usual
+    return max(longest, wait) + margin
+
+
+def find_cheapest(
     candidates: list[Candidate],
     reports: dict[str, LoadEstimate],
     request: PlacementRequest,
     scope: ZoneScope,
     now: float,
     rng: random.Random,
-) -> Candidate | None:
+) -> Choice | None:
     """Return the candidate with the lowest cost in scope, ties at random.
 
     Little is known of upstreams outside the own zone. Without a recent report
@@ -308,4 +393,25 @@
         cost = estimate_cost(one, report, request, now, min_backlog)
         return cost + TIE_BREAK_COST * rng.random()
 
-    return min(within, key=cost_of, default=None)
+    return _choose(within, [cost_of(one) for one in within])
+
+
+def choose_cheapest(
+    candidates: list[Candidate],
+    reports: dict[str, LoadEstimate],
+    request: PlacementRequest,
+    scope: ZoneScope,
+    now: float,
+    rng: random.Random,
+) -> Candidate | None:
+    """Return the candidate with the lowest cost in scope, ties at random."""
+    choice = find_cheapest(candidates, reports, request, scope, now, rng)
+    return choice.candidate if choice else None
+
+
+def _choose(candidates: list[Candidate], costs: list[float]) -> Choice | None:
+    if not costs:
+        return None
+    best = min(range(len(costs)), key=costs.__getitem__)
+    others = (cost for place, cost in enumerate(costs) if place != best)
+    return Choice(candidates[best], costs[best], min(others, default=math.inf))
--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -20,11 +20,12 @@
 from kumquathold_core.failure_risk import SUSPECT_RISK
 from kumquathold_core.forwarding import Refusal
 from kumquathold_core.permitted_regions import PermittedRegions, is_permitted
-from kumquathold_core.placement import LoadEstimate, PlacementRequest
+from kumquathold_core.placement import Choice, LoadEstimate, PlacementRequest
 from kumquathold_core.rules import Service
 from kumquathold_core.smoothing import RouteAverages
 from kumquathold_core.statement_table import StatementTable
 from kumquathold_node.kernel import Kernel
+from kumquathold_node.load_exchange import LoadExchange
 from kumquathold_node.membership import FleetView, Membership
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.selections import (
@@ -70,6 +71,7 @@
         self.membership: Membership = kernel.find('membership')
         self.metrics: Metrics = kernel.find('metrics')
         self.evacuations: ZoneEvacuations = kernel.find('zone-evacuations')
+        self.exchanged: LoadExchange = kernel.find('load-exchange')
         self.zone = settings.zone
         self.region = settings.region
         self.lock = threading.Lock()
@@ -96,69 +98,81 @@
         must be passed to `finish`.
         """
         now = monotonic()
-        service = selection_request.service
         with self.lock:
             self._update_services(self.membership.view)
-            view = self._find_open_view(service.name)
+            view = self._find_open_view(selection_request.service.name)
             if view is None:
                 return None
-            detector = self._get_detector(service.name)
-            self.floors[service.name] = service.floor
-            ejected = detector.update_ejections(view.slots, service.floor, now)
-            self._record_ejections(service.name, ejected)
-            if selection_request.regions is not None:
-                view = _permit(view, selection_request.regions)
-                ejected = detector.keep_floor(
-                    ejected, view.slots, service.floor
-                )
-            trial = (
-                detector.take_trial(ejected, now)
-                if selection_request.idempotent
-                else None
-            )
-            usable = self._filter_candidates(
-                view, ejected - {trial or ''}, selection_request.tried, now
-            )
-            chosen = self._choose_candidate(
-                usable, selection_request, trial, now
-            )
-            if chosen is None:
-                return None
-            if chosen.upstream != trial and not selection_request.refused_by:
-                chosen = self._explore(
-                    detector, chosen, usable, selection_request
-                )
-            self._get_load(chosen.upstream).in_flight += 1
-            self._get_load(chosen.upstream).record_send(now)
-            distance = rank_distance(chosen, self.zone, self.region)
-            self.metrics.count(f'ingress.sent.{DISTANCE_NAMES[distance]}')
-            load = self._get_load(chosen.upstream)
-            logger.info(
-                'request placed',
-                request=selection_request.caller_id,
-                upstream=chosen.upstream,
-                distance=DISTANCE_NAMES[distance],
-                backlog=load.backlog,
-                risk=round(load.risk_at(now), 3),
-                age=round(
-                    min(now - load.reported_at, MAX_LOGGED_AGE_SECONDS), 3
-                ),
-                sent_on=len(selection_request.refused_by),
-                trial=chosen.upstream in ejected,
-                choices=len(usable),
-            )
-            return Selection(
-                candidate=chosen,
-                is_trial=chosen.upstream in ejected,
-                max_wait=self._max_wait_of(chosen, usable, selection_request),
-                max_risk=_max_risk_of(chosen, usable, selection_request),
-                slow_limit=detector.slow_limit(
-                    selection_request.route, chosen.upstream
-                ),
-                statement=self.statements.find(
-                    chosen.upstream, chosen.lifetime
-                ),
-            )
+            return self._select(view, selection_request, now)
+
+    def _select(
+        self,
+        view: ServiceView,
+        selection_request: SelectionRequest,
+        now: float,
+    ) -> Selection | None:
+        service = selection_request.service
+        detector = self._get_detector(service.name)
+        self.floors[service.name] = service.floor
+        ejected = detector.update_ejections(view.slots, service.floor, now)
+        self._record_ejections(service.name, ejected)
+        if selection_request.regions is not None:
+            view = _permit(view, selection_request.regions)
+            ejected = detector.keep_floor(ejected, view.slots, service.floor)
+        trial = None
+        if selection_request.idempotent:
+            trial = detector.take_trial(ejected, now)
+        usable = self._filter_candidates(
+            view, ejected - {trial or ''}, selection_request.tried, now
+        )
+        choice = self._choose_candidate(usable, selection_request, trial, now)
+        if choice is None:
+            return None
+        max_wait = self._max_wait_of(choice, usable, selection_request, now)
+        chosen = choice.candidate
+        if chosen.upstream != trial and not selection_request.refused_by:
+            chosen = self._explore(detector, chosen, usable, selection_request)
+        selection = Selection(
+            candidate=chosen,
+            is_trial=chosen.upstream in ejected,
+            max_wait=max_wait,
+            max_risk=_max_risk_of(chosen, usable, selection_request),
+            slow_limit=detector.slow_limit(
+                selection_request.route, chosen.upstream
+            ),
+            statement=self.statements.find(chosen.upstream, chosen.lifetime),
+        )
+        self._record_placement(selection, selection_request, len(usable), now)
+        return selection
+
+    def _record_placement(
+        self,
+        selection: Selection,
+        selection_request: SelectionRequest,
+        choices: int,
+        now: float,
+    ) -> None:
+        chosen = selection.candidate
+        load = self._get_load(chosen.upstream)
+        load.in_flight += 1
+        load.record_send(now)
+        distance = rank_distance(chosen, self.zone, self.region)
+        self.metrics.count(f'ingress.sent.{DISTANCE_NAMES[distance]}')
+        age = min(now - load.reported_at, MAX_LOGGED_AGE_SECONDS)
+        logger.info(
+            'request placed',
+            request=selection_request.caller_id,
+            route=selection_request.route,
+            upstream=chosen.upstream,
+            distance=DISTANCE_NAMES[distance],
+            backlog=load.backlog,
+            risk=round(load.risk_at(now), 3),
+            age=round(age, 3),
+            max_wait=round(min(selection.max_wait, MAX_LOGGED_AGE_SECONDS), 3),
+            sent_on=len(selection_request.refused_by),
+            trial=selection.is_trial,
+            choices=choices,
+        )
 
     def is_unplaceable(self, selection_request: SelectionRequest) -> bool:
         """Whether upstreams are known, but none where the request may go."""
@@ -415,17 +429,25 @@
         ]
         return untried or reachable or in_rotation
 
+    def _apply_exchanged_loads(self, usable: list[Candidate]) -> None:
+        """Replace reports by those of other nodes that are newer."""
+        for candidate in usable:
+            known = self.exchanged.find(candidate.upstream)
+            if known is not None:
+                self._get_load(candidate.upstream).record_exchanged(known)
+
     def _choose_candidate(
         self,
         usable: list[Candidate],
         selection_request: SelectionRequest,
         trial: str | None,
         now: float,
-    ) -> Candidate | None:
+    ) -> Choice | None:
         for candidate in usable:
             if candidate.upstream == trial:
-                return candidate
-        return placement.choose_cheapest(
+                return Choice(candidate, 0.0, math.inf)
+        self._apply_exchanged_loads(usable)
+        return placement.find_cheapest(
             usable,
             self.loads,
             self._make_placement_request(selection_request),
@@ -436,17 +458,26 @@
 
     def _max_wait_of(
         self,
-        chosen: Candidate,
+        choice: Choice,
         usable: list[Candidate],
         selection_request: SelectionRequest,
+        now: float,
     ) -> float:
         """Return the seconds of wait above which the owner returns the request.
 
-        They are 0 within the zone, where rerouting costs next to nothing, and
-        infinite if the request is not to be rerouted again.
+        Without exchanged loads they are 0 within the zone, as little is known
+        of the others there. They are infinite if the request is not to be
+        rerouted again.
         """
+        chosen = choice.candidate
         if _is_final(chosen, usable, selection_request):
             return math.inf
+        if self.exchanged.limit:
+            load = self._get_load(chosen.upstream)
+            backlog = placement.estimate_backlog(chosen, load, now)
+            wait = placement.estimate_wait(chosen, load, backlog, now)
+            placed = self._make_placement_request(selection_request)
+            return placement.find_max_wait(choice, wait, placed)
         return 0.0 if chosen.zone == self.zone else selection_request.objective
 
     def _make_placement_request(
@@ -484,7 +515,7 @@
         near = [one for one in others if one.region == self.region]
         if not near and not is_suspected:
             return chosen
-        other = placement.choose_cheapest(
+        other = placement.find_cheapest(
             near or others,
             self.loads,
             self._make_placement_request(selection_request),
@@ -492,7 +523,7 @@
             monotonic(),
             self.rng,
         )
-        return other or chosen
+        return other.candidate if other else chosen
 
     def _record_ejections(self, service: str, ejected: set[str]) -> None:
         before = self.ejected.get(service, set())
--- a/packages/node/src/kumquathold_node/composition.py
+++ b/packages/node/src/kumquathold_node/composition.py
@@ -13,6 +13,7 @@
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.ingress import Ingress
 from kumquathold_node.kernel import Kernel
+from kumquathold_node.load_exchange import LoadExchange
 from kumquathold_node.membership import Membership
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.owner import Owner
@@ -68,6 +69,7 @@
     """Add membership and the distribution of the configuration."""
     FreshnessService(kernel, settings)
     ZoneEvacuations(kernel)
+    LoadExchange(kernel, settings)
     Membership(kernel, _make_own_record(settings, incarnation), settings)
     ConfigurationService(kernel, adapter.read_rules)
     adapter.add_configuration_source(kernel, settings)
--- a/packages/node/src/kumquathold_node/main.py
+++ b/packages/node/src/kumquathold_node/main.py
@@ -265,6 +265,11 @@
         default=node_settings.DEFAULT_BODY_MEMORY_MEGABYTES,
         help='Megabytes of bodies of requests and responses held at once.',
     ),
+    click.option(
+        '--load-reports',
+        default=0,
+        help='Most loads of upstreams in one heartbeat; 0 exchanges none.',
+    ),
     click.option(
         '--retry-ratio',
         default=BUDGET_RETRIES_PER_REQUEST,
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -24,6 +24,7 @@
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.heartbeat_tracker import Heartbeat, HeartbeatTracker
 from kumquathold_node.kernel import HandlerFailed, Kernel, Task
+from kumquathold_node.load_exchange import LoadExchange
 from kumquathold_node.membership_messages import (
     DeparturesLearnedEvent,
     GroupsHeldEvent,
@@ -105,6 +106,7 @@
         self.transport: Transport = kernel.find('transport')
         self.freshness: FreshnessService = kernel.find('freshness')
         self.evacuations: ZoneEvacuations = kernel.find('zone-evacuations')
+        self.loads: LoadExchange = kernel.find('load-exchange')
         self.table = member_table.MemberTable(own, monotonic())
         self.heartbeats = HeartbeatTracker()
         self.silence_detector = SilenceDetector()
@@ -201,6 +203,7 @@
         ping = envelope.message
         self._merge(ping.updates)
         self.evacuations.record_peer_reading(ping.evacuations)
+        self.loads.merge(ping.loads)
         pong = gossip.Pong(
             number=ping.number,
             on_behalf_of=ping.on_behalf_of,
@@ -213,6 +216,9 @@
                 *_make_refutation(self.table, ping.updates),
             ),
             evacuations=self.evacuations.make_report(),
+            loads=self.loads.make_reports(
+                self.view, is_far=self.peers.is_far(envelope.sender)
+            ),
         )
         self.transport.try_send(envelope.sender, pong)
         self.freshness.record_peer_version(envelope.sender, ping.freshness)
@@ -223,6 +229,7 @@
         pong = envelope.message
         self._merge(pong.updates)
         self.evacuations.record_peer_reading(pong.evacuations)
+        self.loads.merge(pong.loads)
         if pong.on_behalf_of:
             relayed = gossip.IndirectPong(
                 number=pong.origin_number,
@@ -346,6 +353,9 @@
             freshness=self.freshness.make_report(),
             updates=self._take_updates_for(peer),
             evacuations=self.evacuations.make_report(),
+            loads=self.loads.make_reports(
+                self.view, is_far=self.peers.is_far(peer)
+            ),
         )
 
     def _ping(self, peer: str, now: float) -> None:
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -18,6 +18,7 @@
 
 from kumquathold_core import forwarding
 from kumquathold_core.forwarding import Outcome, Refusal
+from kumquathold_core.load_table import KnownLoad
 from kumquathold_core.request_registry import RequestRegistry
 from kumquathold_core.wire import Envelope
 from kumquathold_node import (
@@ -151,6 +152,21 @@
         """Number of requests that wait or run."""
         return len(self.requests) + len(self.intake.incomplete)
 
+    def list_loads(self, now: float) -> list[tuple[str, KnownLoad]]:
+        """Return the loads of the upstreams by name; any thread may call it."""
+        return [
+            (
+                upstream.record.name,
+                KnownLoad(
+                    backlog=upstream.in_use + upstream.queue.size,
+                    risk=upstream.failure_risk.estimate_risk(now),
+                    service_seconds=upstream.service_seconds,
+                    measured_at=now,
+                ),
+            )
+            for upstream in list(self.upstreams.values())
+        ]
+
     def on_forward_request(
         self, envelope: Envelope[forwarding.ForwardRequest]
     ) -> None:
--- a/packages/node/src/kumquathold_node/settings.py
+++ b/packages/node/src/kumquathold_node/settings.py
@@ -137,6 +137,9 @@
     body_memory: int = DEFAULT_BODY_MEMORY_MEGABYTES
     """Megabytes of bodies that the process holds at the same time."""
 
+    load_reports: int = 0
+    """Most loads of upstreams in one heartbeat; 0 exchanges none."""
+
     retry_ratio: float = BUDGET_RETRIES_PER_REQUEST
     """Retries that each request adds to the retry budget of this node."""
 
@@ -306,6 +309,7 @@
         ('--heartbeat', settings.heartbeat, 0.05, 10),
         ('--far-rounds', settings.far_rounds, 1, 100),
         ('--explore-share', settings.explore_share, 0, 1),
+        ('--load-reports', settings.load_reports, 0, 1000),
         ('--retry-ratio', settings.retry_ratio, 0, 1),
         ('--retry-extra', settings.retry_extra, 0, 100_000),
         ('--retry-window', settings.retry_window, 1, 600),
--- a/tests/link_stage.py
+++ b/tests/link_stage.py
@@ -13,6 +13,7 @@
 from kumquathold_core.wire import Envelope, Message
 from kumquathold_node import membership
 from kumquathold_node.kernel import Kernel
+from kumquathold_node.load_exchange import LoadExchange
 from kumquathold_node.membership import Membership
 from kumquathold_node.zone_evacuations import ZoneEvacuations
 from tests.support import make_node_record
@@ -100,8 +101,12 @@
         ZoneEvacuations(kernel)
         kernel.register('owner', mock.Mock())
         settings: Any = SimpleNamespace(
-            heartbeat=HEARTBEAT_SECONDS, far_rounds=FAR_ROUNDS
+            heartbeat=HEARTBEAT_SECONDS,
+            far_rounds=FAR_ROUNDS,
+            load_reports=0,
+            zone='a',
         )
+        LoadExchange(kernel, settings)
         return Membership(kernel, own, settings)
 
     def run_for(self, seconds: float) -> None:
--- a/tests/test_left_upstreams.py
+++ b/tests/test_left_upstreams.py
@@ -15,6 +15,7 @@
 from kumquathold_core.member_table import MemberTable
 from kumquathold_core.wire import Envelope
 from kumquathold_node.kernel import Kernel
+from kumquathold_node.load_exchange import LoadExchange
 from kumquathold_node.membership import Membership
 from kumquathold_node.membership_messages import DeparturesLearnedEvent
 from kumquathold_node.zone_evacuations import ZoneEvacuations
@@ -119,7 +120,10 @@
     ZoneEvacuations(kernel)
     task = SimpleNamespace(post=learned.append)
     kernel.register('owner', SimpleNamespace(task=task))
-    settings: Any = SimpleNamespace(far_rounds=1, heartbeat=1.0)
+    settings: Any = SimpleNamespace(
+        far_rounds=1, heartbeat=1.0, load_reports=0, zone='a'
+    )
+    LoadExchange(kernel, settings)
     return Membership(kernel, own, settings), learned
 
 
