--- a/tests/site_store.py
+++ b/tests/site_store.py
@@ -65,6 +65,12 @@
             self._put(key, base64.b64encode(value).decode(), lease)
             self.lock.notify_all()
 
+    def remove(self, key: str) -> None:
+        """Remove an item, as an operator does."""
+        with self.lock:
+            self._remove(key)
+            self.lock.notify_all()
+
     def compact_history(self) -> None:
         """Compact the history; a watch from an earlier revision gets a 410."""
         with self.lock:
