Relax suspicion as gray periods end, and probe with one request at a time

Cause: a failed upstream stayed suspect for seven seconds, while gray periods last about three; the relaxation used the time between periods for their length. The age of the report, which exchanged loads renew, also hid that a trial was due.

Change: the time constant follows from the mean length and the share of gray periods; after a failure an upstream runs one request until it succeeds; loads carry the age of the latest outcome. The played load of a slow upstream reports all upstreams at each step, so that risk does not stand in for slowness; its bound is unchanged.

--- a/packages/core/src/kumquathold_core/failure_risk.py
+++ b/packages/core/src/kumquathold_core/failure_risk.py
@@ -5,7 +5,8 @@
 it fails about one in fifty. Each outcome updates the belief that it is
 gray by Bayes' rule. Between outcomes the belief relaxes towards the share of
 gray upstreams, because gray periods begin and end without being observed. One
-failure makes an upstream suspect for some seconds; one success clears it.
+failure makes an upstream suspect for about two seconds; one success clears it.
+After a failure it gets one request at a time until one succeeds.
 
 The estimate only biases placement: requests go elsewhere while that costs
 little. It needs no floor, since a request with no better choice still runs at
@@ -22,8 +23,14 @@
 GRAY_FAILURE_RATE = 0.85
 HEALTHY_FAILURE_RATE = 0.02
 
-GRAY_PERIOD_SECONDS = 9.0
-"""Time constant with which the belief relaxes towards `GRAY_SHARE`."""
+GRAY_PERIOD_SECONDS = 3.5
+"""Mean length of a gray period."""
+
+RELAXATION_SECONDS = GRAY_PERIOD_SECONDS * (1 - GRAY_SHARE)
+"""Time constant with which the belief relaxes towards `GRAY_SHARE`.
+
+That of a chain whose gray periods have this mean length and share.
+"""
 
 SUSPECT_RISK = 0.5
 
@@ -37,9 +44,7 @@
 def relax_belief(belief: float, seconds: float) -> float:
     """Return the belief after `seconds` without outcomes."""
     excess = belief - GRAY_SHARE
-    return GRAY_SHARE + excess * math.exp(
-        -max(seconds, 0) / GRAY_PERIOD_SECONDS
-    )
+    return GRAY_SHARE + excess * math.exp(-max(seconds, 0) / RELAXATION_SECONDS)
 
 
 def update_belief(belief: float, *, failed: bool) -> float:
@@ -62,19 +67,48 @@
     (seconds of the monotonic clock).
     """
 
-    __slots__ = ('belief', 'trials_in_flight', 'updated_at')
+    __slots__ = (
+        'belief',
+        'has_failed_last',
+        'probes_in_flight',
+        'trials_in_flight',
+        'updated_at',
+    )
 
     def __init__(self) -> None:
         """Start from the share of gray upstreams."""
         self.belief = GRAY_SHARE
         self.updated_at = 0.0
         self.trials_in_flight = 0
+        self.has_failed_last = False
+        self.probes_in_flight = 0
+        """Requests started since the latest outcome, which was a failure."""
 
     def record_outcome(self, now: float, *, failed: bool) -> None:
         """Update the belief with the outcome of a request."""
         relaxed = relax_belief(self.belief, now - self.updated_at)
         self.belief = update_belief(relaxed, failed=failed)
         self.updated_at = now
+        self.has_failed_last = failed
+
+    def may_start(self) -> bool:
+        """Whether a further request may start before the next outcome.
+
+        After a failure one does, which shows whether the gray period is over.
+        """
+        return not self.has_failed_last or not self.probes_in_flight
+
+    def begin_request(self) -> bool:
+        """Count a request that starts; return whether it is a probe.
+
+        The end of a probe must be passed to `end_probe`.
+        """
+        self.probes_in_flight += int(self.has_failed_last)
+        return self.has_failed_last
+
+    def end_probe(self) -> None:
+        """Let the next probe start."""
+        self.probes_in_flight = max(0, self.probes_in_flight - 1)
 
     def estimate_risk(self, now: float) -> float:
         """Return the probability that the next request fails."""
--- a/packages/core/src/kumquathold_core/load_table.py
+++ b/packages/core/src/kumquathold_core/load_table.py
@@ -16,6 +16,7 @@
 MAX_REPORT_AGE_SECONDS = 5.0
 """Age from which a report is passed on no more, and forgotten."""
 
+MAX_IDLE_MS = 60_000
 MAX_TRACKED_LOADS = 4096
 MILLISECONDS_PER_SECOND = 1000
 PERCENT = 100
@@ -39,6 +40,9 @@
     age_ms: int
     """Milliseconds since the owner measured this."""
 
+    idle_ms: int
+    """Milliseconds from its latest outcome until then, up to `MAX_IDLE_MS`."""
+
 
 class KnownLoad(msgspec.Struct, frozen=True):
     """The newest load of an upstream that a node knows."""
@@ -55,6 +59,14 @@
     measured_at: float
     """When its owner measured it, by the monotonic clock of this node."""
 
+    idle_seconds: float = 0.0
+    """Time from its latest outcome until then."""
+
+    @property
+    def outcome_at(self) -> float:
+        """When its latest outcome was, by the monotonic clock of this node."""
+        return self.measured_at - self.idle_seconds
+
 
 def hash_name(name: str) -> int:
     """Return the key of an upstream in reports, a number of 32 bits.
@@ -132,11 +144,21 @@
         risk_percent=round(load.risk * PERCENT),
         service_ms=round(load.service_seconds * MILLISECONDS_PER_SECOND),
         age_ms=max(0, round(age * MILLISECONDS_PER_SECOND)),
+        idle_ms=_to_idle_ms(load.idle_seconds),
     )
 
 
+def _to_idle_ms(seconds: float) -> int:
+    return min(round(seconds * MILLISECONDS_PER_SECOND), MAX_IDLE_MS)
+
+
 def _read_report(report: LoadReport, now: float) -> KnownLoad | None:
-    numbers = (report.backlog, report.service_ms, report.age_ms)
+    numbers = (
+        report.backlog,
+        report.service_ms,
+        report.age_ms,
+        report.idle_ms,
+    )
     age = report.age_ms / MILLISECONDS_PER_SECOND
     is_risk = 0 <= report.risk_percent <= PERCENT
     if min(numbers) < 0 or not is_risk or age > MAX_REPORT_AGE_SECONDS:
@@ -146,4 +168,5 @@
         risk=report.risk_percent / PERCENT,
         service_seconds=report.service_ms / MILLISECONDS_PER_SECOND,
         measured_at=now - age,
+        idle_seconds=report.idle_ms / MILLISECONDS_PER_SECOND,
     )
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -162,6 +162,7 @@
                     risk=upstream.failure_risk.estimate_risk(now),
                     service_seconds=upstream.service_seconds,
                     measured_at=now,
+                    idle_seconds=now - upstream.failure_risk.updated_at,
                 ),
             )
             for upstream in list(self.upstreams.values())
@@ -552,8 +553,7 @@
         if withdrawal is not None:
             self._fail(request, Outcome.not_run, withdrawal)
             return
-        request.started_at = now
-        upstream.record_start(now)
+        upstream.begin(request, now)
         self.registry.start(request.request_id)
         if request.message.claim:
             self.claims.request_claim(request)
@@ -568,7 +568,7 @@
     def _free_slot(self, request: OwnerRequest) -> None:
         upstream = self.upstreams.get(request.message.upstream)
         if upstream is not None:
-            upstream.in_use -= 1
+            upstream.end(request)
             self._start_queued(upstream)
 
     def _finish(
--- a/packages/node/src/kumquathold_node/owner_outcomes.py
+++ b/packages/node/src/kumquathold_node/owner_outcomes.py
@@ -40,7 +40,7 @@
     """Update failure risk and service time with the outcome of a call.
 
     `seconds` is the service time, which is ignored for a failed call. Returns
-    whether the upstream has become suspect.
+    whether the upstream is suspect by this failure.
     """
     now = monotonic()
     was_suspect = upstream.failure_risk.is_suspect(now)
@@ -68,7 +68,7 @@
             request=request.message.caller_id,
         )
     end_trial(upstream, request)
-    return is_suspect and not was_suspect
+    return is_suspect and failed
 
 
 def may_stem_from_failed_call(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -185,7 +185,10 @@
         running.append(starts_at + seconds)
         running_until[name] = running
         late += running[-1] - now > OBJECTIVE_SECONDS
-        estimates[name].record_report(len(running), KNOWN_RISK, now)
+        for other, estimate in estimates.items():
+            # The same risk for all, so that it does not stand in for slowness.
+            backlog = sum(end > now for end in running_until[other])
+            estimate.record_report(backlog, KNOWN_RISK, now)
         if records_durations:
             estimates[name].record_duration(seconds, USUAL_SECONDS, now)
     return late
