Ask other owners for a retry that one has no budget for

Cause: an ingress whose retry was refused for want of budget asked the cheapest upstream again, the same one.

Change: upstreams that refused for the budget are left out of the next choice; up to five owners are asked.

--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -55,13 +55,10 @@
 Drawn for each, so that they do not return all at once.
 """
 
-RETURNED_REFUSALS = REROUTED_REFUSALS | {Refusal.retry_budget}
-"""Refusals by which an owner says that others may take the request."""
-
 UNPLACED_REFUSALS = frozenset((Refusal.no_upstream, Refusal.region_unavailable))
 """Refusals of this ingress for want of an upstream."""
 
-MAX_BUDGET_REFUSALS = 3
+MAX_BUDGET_REFUSALS = 5
 """Owners without a retry left after which a request is not retried."""
 
 TRIAL_PAUSE_SECONDS = 2.0
@@ -354,11 +351,20 @@
             ended = attempt.run()
         finally:
             self.balancer.finish(selection)
-        if (
-            isinstance(ended, AttemptFailure)
-            and ended.reason in RETURNED_REFUSALS
-        ):
-            selection_request.refused_by.append(name)
-        else:
-            selection_request.tried.add(name)
+        _record_upstream(selection_request, name, ended)
         return ended
+
+
+def _record_upstream(
+    selection_request: SelectionRequest,
+    name: str,
+    ended: CallerResponse | AttemptFailure,
+) -> None:
+    """Record why the next attempt prefers other upstreams."""
+    reason = ended.reason if isinstance(ended, AttemptFailure) else None
+    if reason == Refusal.retry_budget:
+        selection_request.without_budget.add(name)
+    elif reason in REROUTED_REFUSALS:
+        selection_request.refused_by.append(name)
+    else:
+        selection_request.tried.add(name)
--- a/packages/node/src/kumquathold_node/selections.py
+++ b/packages/node/src/kumquathold_node/selections.py
@@ -81,6 +81,9 @@
     tried: set[str] = msgspec.field(default_factory=set)
     """Upstreams that earlier attempts may have reached."""
 
+    without_budget: set[str] = msgspec.field(default_factory=set)
+    """Upstreams whose owners had no retry left for the request."""
+
     refused_by: list[str] = msgspec.field(default_factory=list)
     """Upstreams whose owners returned the request without running it."""
 
