--- a/packages/core/src/kumquathold_core/placement.py
+++ b/packages/core/src/kumquathold_core/placement.py
@@ -8,8 +8,8 @@
   the limit that the upstream states. The service time is the route's, times the
   slowness of the upstream.
 - failure: the whole value, or less if the request can be repeated.
-- network: each kilobyte that leaves the zone or the region, because such
-  traffic is billed.
+- network: the distance, and each kilobyte that leaves the zone or the region,
+  where the settings say that such traffic is billed.
 
 Estimates may be out of date, because several ingresses share the few upstreams
 of a zone and gray periods last only seconds. An owner corrects a wrong estimate
@@ -39,15 +39,18 @@
 
 LATE_COST = 0.8
 ON_TIME_COST = 0.08
-SAFE_SHARE_OF_OBJECTIVE = 0.7
+SAFE_SHARE_OF_OBJECTIVE = 0.6
 """Share of the objective from which delay costs more.
 
 The additional cost grows evenly and reaches `LATE_COST` at twice this share.
 """
 
-NETWORK_COST_PER_KILOBYTE = (0.0, 0.05, 0.09)
 NETWORK_BASE_COST = (0.0, 0.05, 0.08)
-"""Both are indexed by `rank_distance`: same zone, same region, other region."""
+"""By `rank_distance`: same zone, same region, other region.
+
+Distance alone decides where traffic has no cost: a request leaves its zone once
+it would wait there for about as long as that makes its response late.
+"""
 
 DEFAULT_SERVICE_SECONDS = 0.3
 MIN_SERVICE_SECONDS = 0.001
@@ -65,6 +68,9 @@
 IDLE_SECONDS = 1.0
 """Age of a report from which an upstream of the zone gets a trial request."""
 
+SLOW_PERIOD_SECONDS = 9.0
+"""Time constant with which the slowness of an upstream is forgotten."""
+
 LIMIT_SPREAD_SECONDS = 2.0
 """Time that a change of a stated limit may take to reach all nodes."""
 
@@ -84,6 +90,9 @@
     reported_at: float = 0.0
     """Time of that report, in seconds of the own monotonic clock."""
 
+    outcome_at: float = 0.0
+    """Time of the latest outcome that the report tells of."""
+
     steady_seconds: float = 0.0
     """Time after a report for which its backlog is taken to stay as it is."""
 
@@ -127,6 +136,7 @@
         self.backlog = backlog
         self.sent_since = 0
         self.reported_at = now
+        self.outcome_at = now
         self.risk = risk
 
     def record_exchanged(self, known: KnownLoad) -> None:
@@ -135,6 +145,7 @@
             return
         self.steady_seconds = EXCHANGED_STEADY_SECONDS
         self.record_report(known.backlog, known.risk, known.measured_at)
+        self.outcome_at = known.outcome_at
         if known.service_seconds:
             self.service_seconds = known.service_seconds
 
@@ -156,7 +167,7 @@
         """
         age = max(0.0, now - self.measured_at)
         excess = self.slowness - 1
-        return 1 + excess * math.exp(-age / failure_risk.GRAY_PERIOD_SECONDS)
+        return 1 + excess * math.exp(-age / SLOW_PERIOD_SECONDS)
 
     def risk_at(self, now: float) -> float:
         """Return the failure risk, relaxed since the latest report."""
@@ -181,6 +192,9 @@
     usual_seconds: float = DEFAULT_SERVICE_SECONDS
     """Average duration of a request of the route."""
 
+    kilobyte_costs: tuple[float, float, float] = (0.0, 0.0, 0.0)
+    """Cost of a kilobyte in shares of the value, by `rank_distance`."""
+
     idempotent: bool = False
     """Whether the request may be repeated safely."""
 
@@ -190,7 +204,7 @@
     def estimate_network_cost(self, candidate: Candidate) -> float:
         """Return the cost of the network path to a candidate."""
         distance = rank_distance(candidate, self.zone, self.region)
-        by_size = NETWORK_COST_PER_KILOBYTE[distance] * self.kilobytes
+        by_size = self.kilobyte_costs[distance] * self.kilobytes
         return NETWORK_BASE_COST[distance] + by_size
 
     @property
@@ -286,7 +300,7 @@
         return False
     if estimate_limit_wait(candidate, report, now) > 0:
         return False
-    age = now - report.reported_at
+    age = now - report.outcome_at
     is_idle = candidate.zone == request.zone and age >= IDLE_SECONDS
     is_suspect = report.risk_at(now) > failure_risk.SUSPECT_RISK
     return is_idle or (
--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -23,7 +23,7 @@
 from kumquathold_core.placement import Choice, LoadEstimate, PlacementRequest
 from kumquathold_core.rules import Service
 from kumquathold_core.smoothing import RouteAverages
-from kumquathold_core.statement_table import StatementTable
+from kumquathold_node.exclusions import Exclusions
 from kumquathold_node.kernel import Kernel
 from kumquathold_node.load_exchange import LoadExchange
 from kumquathold_node.membership import FleetView, Membership
@@ -38,10 +38,6 @@
 from kumquathold_node.settings import Settings
 from kumquathold_node.zone_evacuations import ZoneEvacuations
 
-EXCLUSION_SECONDS = 3.0
-"""Time that the fleet view may take to show that an upstream or node drains."""
-
-SILENT_PATH_EXCLUSION_SECONDS = 2.0
 SUSPECT_EXPLORE_FACTOR = 10
 """Factor on the explore share while the chosen upstream is suspected."""
 
@@ -53,15 +49,6 @@
 DISTANCE_NAMES = ('zone', 'region', 'beyond')
 """Names in metrics and logs, by `rank_distance`."""
 
-DEPARTURE_REFUSALS = frozenset(
-    (
-        Refusal.upstream_leaving,
-        Refusal.upstream_replaced,
-        Refusal.zone_evacuated,
-    ),
-)
-"""Refusals by upstreams that accept no requests any more."""
-
 
 class Balancer:
     """Selects upstreams for the requests of this node's ingress."""
@@ -77,15 +64,18 @@
         self.lock = threading.Lock()
         self.rng = random.Random(settings.peer)
         self.loads: dict[str, LoadEstimate] = {}
-        self.statements = StatementTable()
         self.sizes = RouteAverages(DEFAULT_KILOBYTES)
         self.durations = RouteAverages(placement.DEFAULT_SERVICE_SECONDS)
         self.explore_share = settings.explore_share
+        self.kilobyte_costs = (
+            0.0,
+            settings.zone_kilobyte_cost,
+            settings.region_kilobyte_cost,
+        )
         self.detectors: dict[str, OutlierDetector] = {}
         self.ejected: dict[str, set[str]] = {}
         self.floors: dict[str, float] = {}
-        self.excluded_upstreams: dict[str, float] = {}
-        self.excluded_owners: dict[str, float] = {}
+        self.exclusions = Exclusions()
         self.services: dict[str, ServiceView] = {}
         self.seen_changes = -1
         kernel.register('balancer', self)
@@ -123,7 +113,10 @@
         if selection_request.idempotent:
             trial = detector.take_trial(ejected, now)
         usable = self._filter_candidates(
-            view, ejected - {trial or ''}, selection_request.tried, now
+            view,
+            ejected - {trial or ''},
+            selection_request.tried | selection_request.without_budget,
+            now,
         )
         choice = self._choose_candidate(usable, selection_request, trial, now)
         if choice is None:
@@ -140,7 +133,9 @@
             slow_limit=detector.slow_limit(
                 selection_request.route, chosen.upstream
             ),
-            statement=self.statements.find(chosen.upstream, chosen.lifetime),
+            statement=self.exclusions.statements.find(
+                chosen.upstream, chosen.lifetime
+            ),
         )
         self._record_placement(selection, selection_request, len(usable), now)
         return selection
@@ -290,12 +285,7 @@
         candidate = selection.candidate
         with self.lock:
             self._record_report(candidate.upstream, report, now)
-            if reason in DEPARTURE_REFUSALS:
-                self.excluded_upstreams[candidate.upstream] = (
-                    now + EXCLUSION_SECONDS
-                )
-            elif reason == Refusal.node_leaving:
-                self.excluded_owners[candidate.owner] = now + EXCLUSION_SECONDS
+            self.exclusions.record_refusal(candidate, reason, now)
 
     def _record_report(
         self, upstream: str, report: OwnerReport, now: float
@@ -304,16 +294,14 @@
         load.record_report(report.backlog, report.risk, now)
         statement = report.statement
         if statement is not None:
-            self.statements.record(upstream, statement, now)
+            self.exclusions.statements.record(upstream, statement, now)
         load.record_limit(report.limit, report.wait, now)
 
     def record_silent_path(self, owner: str) -> None:
         """Temporarily exclude an owner that does not respond to this node."""
         self.metrics.count('ingress.silent_paths')
         with self.lock:
-            self.excluded_owners[owner] = (
-                monotonic() + SILENT_PATH_EXCLUSION_SECONDS
-            )
+            self.exclusions.record_silent_path(owner)
 
     def list_ejected(self, view: FleetView) -> dict[str, list[str]]:
         """Return the upstreams that this node ejects, by service."""
@@ -371,14 +359,10 @@
         return view.restrict(lambda one: one.zone not in zones)
 
     def _is_excluded(self, candidate: Candidate, now: float) -> bool:
-        return (
-            self.excluded_upstreams.get(candidate.upstream, 0) > now
-            or self.statements.is_leaving(
-                candidate.upstream, candidate.lifetime, now
-            )
-            or self.excluded_owners.get(candidate.owner, 0) > now
-            or candidate.owner in self.membership.view.suspects
-        )
+        suspects = self.membership.view.suspects
+        return self.exclusions.has_left(
+            candidate, now
+        ) or not self.exclusions.is_reachable(candidate, suspects, now)
 
     def _get_load(self, upstream: str) -> LoadEstimate:
         return self.loads.setdefault(upstream, LoadEstimate())
@@ -414,15 +398,13 @@
             one
             for one in view.candidates
             if one.upstream not in ejected
-            and self.excluded_upstreams.get(one.upstream, 0) <= now
-            and not self.statements.is_leaving(one.upstream, one.lifetime, now)
+            and not self.exclusions.has_left(one, now)
         ]
         suspects = self.membership.view.suspects
         reachable = [
             one
             for one in in_rotation
-            if self.excluded_owners.get(one.owner, 0) <= now
-            and one.owner not in suspects
+            if self.exclusions.is_reachable(one, suspects, now)
         ]
         untried = [
             one for one in reachable or in_rotation if one.upstream not in tried
@@ -488,6 +470,7 @@
             region=self.region,
             kilobytes=self.sizes.get_average(selection_request.route),
             usual_seconds=self.durations.get_average(selection_request.route),
+            kilobyte_costs=self.kilobyte_costs,
             objective=selection_request.objective,
             idempotent=selection_request.idempotent,
             may_send_trial=selection_request.idempotent
--- a/packages/node/src/kumquathold_node/load_exchange.py
+++ b/packages/node/src/kumquathold_node/load_exchange.py
@@ -25,7 +25,7 @@
     from kumquathold_node.membership import FleetView
     from kumquathold_node.owner import Owner
 
-FAR_LIMIT_SHARE = 0.25
+FAR_LIMIT_SHARE = 0.1
 """Share of the most loads in a heartbeat that goes to another zone."""
 
 
--- a/packages/node/src/kumquathold_node/main.py
+++ b/packages/node/src/kumquathold_node/main.py
@@ -265,6 +265,16 @@
         default=node_settings.DEFAULT_BODY_MEMORY_MEGABYTES,
         help='Megabytes of bodies of requests and responses held at once.',
     ),
+    click.option(
+        '--zone-kilobyte-cost',
+        default=0.0,
+        help='Cost of a kilobyte between zones, in shares of the value.',
+    ),
+    click.option(
+        '--region-kilobyte-cost',
+        default=0.0,
+        help='Cost of a kilobyte between regions, in such shares.',
+    ),
     click.option(
         '--load-reports',
         default=0,
--- a/packages/node/src/kumquathold_node/settings.py
+++ b/packages/node/src/kumquathold_node/settings.py
@@ -140,6 +140,12 @@
     load_reports: int = 0
     """Most loads of upstreams in one heartbeat; 0 exchanges none."""
 
+    zone_kilobyte_cost: float = 0.0
+    """Cost of a kilobyte between zones, as a share of a request's value."""
+
+    region_kilobyte_cost: float = 0.0
+    """Cost of a kilobyte between regions, as a share of a request's value."""
+
     retry_ratio: float = BUDGET_RETRIES_PER_REQUEST
     """Retries that each request adds to the retry budget of this node."""
 
@@ -309,6 +315,8 @@
         ('--heartbeat', settings.heartbeat, 0.05, 10),
         ('--far-rounds', settings.far_rounds, 1, 100),
         ('--explore-share', settings.explore_share, 0, 1),
+        ('--zone-kilobyte-cost', settings.zone_kilobyte_cost, 0, 10),
+        ('--region-kilobyte-cost', settings.region_kilobyte_cost, 0, 10),
         ('--load-reports', settings.load_reports, 0, 1000),
         ('--retry-ratio', settings.retry_ratio, 0, 1),
         ('--retry-extra', settings.retry_extra, 0, 100_000),
--- a/tests/test_permitted_regions.py
+++ b/tests/test_permitted_regions.py
@@ -99,6 +99,8 @@
             region='north',
             explore_share=0.5,
             load_reports=0,
+            zone_kilobyte_cost=0.0,
+            region_kilobyte_cost=0.0,
         )
         LoadExchange(kernel, settings)
         self.balancer = Balancer(kernel, settings)
