--- a/packages/core/src/kumquathold_core/gossip.py
+++ b/packages/core/src/kumquathold_core/gossip.py
@@ -12,6 +12,7 @@
 
 from kumquathold_core.identity import NodeRecord
 from kumquathold_core.load_table import LoadReport
+from kumquathold_core.route_reports import RouteReport
 from kumquathold_core.zone_evacuations import EvacuationReading
 
 
@@ -73,6 +74,9 @@
     loads: tuple[LoadReport, ...] = ()
     """Loads of upstreams, if nodes exchange them."""
 
+    routes: tuple[RouteReport, ...] = ()
+    """Sizes and durations of routes, likewise."""
+
 
 class Pong(msgspec.Struct, frozen=True, array_like=True, tag='pong'):
     """The response to a heartbeat."""
@@ -104,6 +108,9 @@
     loads: tuple[LoadReport, ...] = ()
     """Loads of upstreams, if nodes exchange them."""
 
+    routes: tuple[RouteReport, ...] = ()
+    """Sizes and durations of routes, likewise."""
+
 
 class IndirectPingRequest(
     msgspec.Struct,
--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -15,13 +15,14 @@
 
 from loguru import logger
 
-from kumquathold_core import placement
+from kumquathold_core import placement, route_reports
 from kumquathold_core.candidates import Candidate, rank_distance
 from kumquathold_core.ejection import OutcomeSample, OutlierDetector
 from kumquathold_core.failure_risk import SUSPECT_RISK
 from kumquathold_core.forwarding import Refusal
 from kumquathold_core.permitted_regions import PermittedRegions, is_permitted
 from kumquathold_core.placement import Choice, LoadEstimate, PlacementRequest
+from kumquathold_core.route_reports import RouteReport
 from kumquathold_core.rules import Service
 from kumquathold_core.smoothing import RouteAverages
 from kumquathold_node.exclusions import Exclusions
@@ -267,6 +268,16 @@
                 )
         self.metrics.count('ingress.bad_outcomes')
 
+    def make_route_reports(self) -> tuple[RouteReport, ...]:
+        """Return what peers without samples of a route may take over."""
+        with self.lock:
+            return route_reports.make_reports(self.sizes, self.durations)
+
+    def apply_route_reports(self, reports: tuple[RouteReport, ...]) -> None:
+        """Take over what a peer has measured of routes unknown here."""
+        with self.lock:
+            route_reports.apply_reports(reports, self.sizes, self.durations)
+
     def record_size(self, route: str, kilobytes: float) -> None:
         """Record the size of a request and its response."""
         with self.lock:
--- a/packages/node/src/kumquathold_node/load_exchange.py
+++ b/packages/node/src/kumquathold_node/load_exchange.py
@@ -22,6 +22,8 @@
 from kumquathold_node.settings import Settings
 
 if TYPE_CHECKING:
+    from kumquathold_core.route_reports import RouteReport
+    from kumquathold_node.balancer import Balancer
     from kumquathold_node.membership import FleetView
     from kumquathold_node.owner import Owner
 
@@ -57,6 +59,18 @@
         with self.lock:
             self.table.merge(reports, monotonic())
 
+    def merge_routes(self, reports: tuple[RouteReport, ...]) -> None:
+        """Pass on what a peer has measured of routes."""
+        if self.limit and reports:
+            self.kernel.find('balancer').apply_route_reports(reports)
+
+    def make_route_reports(self, *, is_far: bool) -> tuple[RouteReport, ...]:
+        """Return what this ingress has measured of routes, for its zone."""
+        if not self.limit or is_far:
+            return ()
+        balancer: Balancer = self.kernel.find('balancer')
+        return balancer.make_route_reports()
+
     def make_reports(
         self, view: FleetView, *, is_far: bool
     ) -> tuple[LoadReport, ...]:
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -204,6 +204,8 @@
         self._merge(ping.updates)
         self.evacuations.record_peer_reading(ping.evacuations)
         self.loads.merge(ping.loads)
+        self.loads.merge_routes(ping.routes)
+        is_far = self.peers.is_far(envelope.sender)
         pong = gossip.Pong(
             number=ping.number,
             on_behalf_of=ping.on_behalf_of,
@@ -216,9 +218,8 @@
                 *_make_refutation(self.table, ping.updates),
             ),
             evacuations=self.evacuations.make_report(),
-            loads=self.loads.make_reports(
-                self.view, is_far=self.peers.is_far(envelope.sender)
-            ),
+            loads=self.loads.make_reports(self.view, is_far=is_far),
+            routes=self.loads.make_route_reports(is_far=is_far),
         )
         self.transport.try_send(envelope.sender, pong)
         self.freshness.record_peer_version(envelope.sender, ping.freshness)
@@ -230,6 +231,7 @@
         self._merge(pong.updates)
         self.evacuations.record_peer_reading(pong.evacuations)
         self.loads.merge(pong.loads)
+        self.loads.merge_routes(pong.routes)
         if pong.on_behalf_of:
             relayed = gossip.IndirectPong(
                 number=pong.origin_number,
@@ -345,6 +347,7 @@
         on_behalf_of: str = '',
         origin_number: int = 0,
     ) -> gossip.Ping:
+        is_far = self.peers.is_far(peer)
         return gossip.Ping(
             number=number,
             on_behalf_of=on_behalf_of,
@@ -353,9 +356,8 @@
             freshness=self.freshness.make_report(),
             updates=self._take_updates_for(peer),
             evacuations=self.evacuations.make_report(),
-            loads=self.loads.make_reports(
-                self.view, is_far=self.peers.is_far(peer)
-            ),
+            loads=self.loads.make_reports(self.view, is_far=is_far),
+            routes=self.loads.make_route_reports(is_far=is_far),
         )
 
     def _ping(self, peer: str, now: float) -> None:
--- a/tests/test_load_table.py
+++ b/tests/test_load_table.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from kumquathold_core import placement
+from kumquathold_core import placement, route_reports
 from kumquathold_core.candidates import Candidate
 from kumquathold_core.load_table import (
     MAX_REPORT_AGE_SECONDS,
@@ -17,6 +17,8 @@
     hash_name,
 )
 from kumquathold_core.placement import Choice, PlacementRequest
+from kumquathold_core.route_reports import RouteReport
+from kumquathold_core.smoothing import RouteAverages
 from tests.load_stage import PlayedLoad
 
 NOW = 100.0
@@ -135,3 +137,45 @@
         )
         in_time = exchanged.count_in_time('a') - without.count_in_time('a')
         self.assertGreater(in_time, 0.1)
+
+
+class RouteReportTest(unittest.TestCase):
+    """What a peer has measured of a route stands in for own samples."""
+
+    def setUp(self) -> None:
+        self.sizes = RouteAverages(2.0)
+        self.durations = RouteAverages(0.3)
+
+    def report(self, kilobytes: float, seconds: float) -> None:
+        """Take over the report of a peer with these averages."""
+        sizes = RouteAverages(2.0)
+        durations = RouteAverages(0.3)
+        sizes.add_sample('r', kilobytes)
+        durations.add_sample('r', seconds)
+        route_reports.apply_reports(
+            route_reports.make_reports(sizes, durations),
+            self.sizes,
+            self.durations,
+        )
+
+    def test_first_large_response_is_not_taken_for_a_small_one(self) -> None:
+        """It would go through a link that is slow or billed."""
+        self.report(90.0, 0.7)
+        self.assertEqual(self.sizes.get_average('r'), 90.0)
+        self.assertEqual(self.durations.get_average('r'), 0.7)
+        self.assertEqual(self.sizes.get_average('other'), 2.0)
+
+    def test_own_samples_count_before_reports(self) -> None:
+        self.sizes.add_sample('r', 5.0)
+        self.report(90.0, 0.7)
+        self.assertEqual(self.sizes.get_average('r'), 5.0)
+
+    def test_odd_reports_are_ignored(self) -> None:
+        odd = [
+            RouteReport(1, -1, 10),
+            RouteReport(1, 10**12, 10),
+            RouteReport(1, 10, 0),
+            RouteReport(1, 10, 10**12),
+        ]
+        route_reports.apply_reports(tuple(odd), self.sizes, self.durations)
+        self.assertEqual(self.sizes.peer_averages, {})
