--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import http
-import math
 from concurrent.futures import ThreadPoolExecutor
 from time import monotonic
 from typing import TYPE_CHECKING, Any
@@ -43,6 +42,7 @@
     OwnerCalls,
 )
 from kumquathold_node.owner_intake import RequestIntake
+from kumquathold_node.owner_queues import OwnerQueues, QueueActions
 from kumquathold_node.owner_replies import OwnerReplies
 from kumquathold_node.owner_requests import (
     CallFailures,
@@ -91,23 +91,28 @@
             self.metrics,
             kernel.find('body-memory'),
             self._admit,
-            self._refuse_body,
+            self._refuse,
         )
         self.roster = UpstreamRoster(
             kernel,
             dialect,
-            self._refuse_queued,
+            self._return_leaving,
         )
         self.upstreams = self.roster.upstreams
-        self.announcements = OwnerAnnouncements(
-            self.roster, self._refuse_queued, self._start_queued
-        )
         self.requests: dict[RequestId, OwnerRequest] = {}
-        self.was_evacuated = False
         self.crash_reports = CrashReports(kernel)
         self.admission = OwnerAdmission(
             kernel, settings, self.roster, self.crash_reports
         )
+        self.queues = OwnerQueues(
+            self.metrics,
+            self.roster,
+            self.admission,
+            QueueActions(refuse=self._refuse, run=self._run),
+        )
+        self.announcements = OwnerAnnouncements(
+            self.roster, self._return_leaving, self.queues.start_queued
+        )
         self.workers = ThreadPoolExecutor(WORKER_THREADS, 'owner-worker')
         self.replies = OwnerReplies(
             self.transport,
@@ -295,21 +300,8 @@
         if isinstance(request, OwnerRequest):
             self._fail(request, Outcome.unknown, Refusal.internal_error)
 
-    def _refuse_queued(self, upstream: Upstream) -> None:
-        self._return_queued(
-            upstream, upstream.queue.items(), Refusal.upstream_leaving
-        )
-
-    def _return_queued(
-        self,
-        upstream: Upstream,
-        waiting: list[OwnerRequest],
-        reason: Refusal,
-    ) -> None:
-        """Refuse some of an upstream's queued requests; others may run them."""
-        for request in waiting:
-            upstream.queue.remove(request)
-            self._fail(request, Outcome.not_run, reason)
+    def _return_leaving(self, upstream: Upstream) -> None:
+        self.queues.return_all(upstream, Refusal.upstream_leaving)
 
     def on_drain(self, command: DrainCommand) -> None:
         """Refuse new requests from now on; running ones continue.
@@ -317,9 +309,7 @@
         Queued ones that the end of the node would break off are returned, as
         other nodes may still run them.
         """
-        self.admission.drain_end_at = command.end_at
-        for upstream in self.upstreams.values():
-            self._start_queued(upstream)
+        self.queues.drain(command.end_at)
 
     def on_claim_granted(self, granted: claim_writes.ClaimGrantedEvent) -> None:
         """Run a request whose claim is written."""
@@ -431,9 +421,7 @@
             upstream, request, self.metrics, seconds=seconds, failed=failed
         )
         if is_suspected:
-            self._return_queued(
-                upstream, upstream.queue.items(), Refusal.upstream_suspect
-            )
+            self.queues.return_all(upstream, Refusal.upstream_suspect)
 
     def _record_statement(
         self,
@@ -450,11 +438,10 @@
         )
         self.roster.record_limit(upstream)
         if is_limited_anew:
-            unstartable = upstream.find_unstartable(monotonic())
-            self._return_queued(upstream, unstartable, Refusal.upstream_busy)
+            self.queues.return_unstartable(upstream)
         if stated.is_leaving and not upstream.record.leaving:
             self.roster.record_leaving(upstream)
-            self._refuse_queued(upstream)
+            self.queues.return_all(upstream, Refusal.upstream_leaving)
 
     def on_outcome_stored(
         self, stored: claim_writes.OutcomeStoredEvent
@@ -478,42 +465,14 @@
         now = monotonic()
         self.intake.expire(now)
         self.registry.expire(now)
-        self._follow_evacuation()
-        for upstream in list(self.upstreams.values()):
-            self.roster.update_cold(upstream, now)
-            overdue = upstream.find_overdue(now)
-            self._return_queued(upstream, overdue, Refusal.overloaded)
-            unstartable = upstream.find_unstartable(now)
-            self._return_queued(upstream, unstartable, Refusal.upstream_busy)
-            self._start_queued(upstream)
-            if owner_statements.is_limit_unconfirmed(upstream, now):
-                self.roster.withdraw_limit(upstream)
+        self.queues.check(now)
         self.roster.remove_expired(now)
 
-    def _follow_evacuation(self) -> None:
-        """Return what waits in a zone that is evacuated.
-
-        Upstreams of a zone that is taken back may be cold. They count as cold
-        until they announce themselves the next time.
-        """
-        is_evacuated = self.admission.location.is_evacuated()
-        if is_evacuated:
-            for upstream in self.upstreams.values():
-                self._return_queued(
-                    upstream, upstream.queue.items(), Refusal.zone_evacuated
-                )
-        elif self.was_evacuated:
-            for upstream in self.upstreams.values():
-                now = monotonic()
-                upstream.cold.record_cold(math.inf, now)
-                self.roster.update_cold(upstream, now)
-        self.was_evacuated = is_evacuated
-
-    def _refuse_body(self, request: OwnerRequest, reason: Refusal) -> None:
+    def _refuse(self, request: OwnerRequest, reason: Refusal) -> None:
         self._fail(request, Outcome.not_run, reason)
 
     def _admit(self, request: OwnerRequest) -> None:
-        self._follow_evacuation()
+        self.queues.follow_evacuation()
         refusal = self.admission.find_refusal(request)
         if refusal is not None:
             self._fail(request, Outcome.not_run, refusal)
@@ -527,33 +486,10 @@
         if message.idempotent and upstream.failure_risk.is_suspect(now):
             owner_outcomes.begin_trial(upstream, request)
         self.requests[request.request_id] = request
-        self._start_queued(upstream)
+        self.queues.start_queued(upstream)
 
-    def _start_queued(self, upstream: Upstream) -> None:
-        unfinishable = upstream.find_unfinishable(
-            self.admission.drain_end_at, monotonic()
-        )
-        self._return_queued(upstream, unfinishable, Refusal.node_leaving)
-        while upstream.may_start(monotonic()):
-            end_at = monotonic() + upstream.service_seconds
-            request = upstream.queue.pop(end_at)
-            for shed in upstream.queue.take_dropped():
-                self._fail(shed, Outcome.not_run, Refusal.overloaded)
-            if request is None:
-                return
-            self._start(upstream, request)
-
-    def _start(self, upstream: Upstream, request: OwnerRequest) -> None:
-        now = monotonic()
-        self.metrics.time('owner.queue', now - request.queued_at)
-        if upstream.is_overdue(request, now):
-            self._fail(request, Outcome.not_run, Refusal.overloaded)
-            return
-        withdrawal = self.admission.find_withdrawal(request.message)
-        if withdrawal is not None:
-            self._fail(request, Outcome.not_run, withdrawal)
-            return
-        upstream.begin(request, now)
+    def _run(self, request: OwnerRequest) -> None:
+        """Run a request that has got its slot, once its claim is written."""
         self.registry.start(request.request_id)
         if request.message.claim:
             self.claims.request_claim(request)
@@ -569,7 +505,7 @@
         upstream = self.upstreams.get(request.message.upstream)
         if upstream is not None:
             upstream.end(request)
-            self._start_queued(upstream)
+            self.queues.start_queued(upstream)
 
     def _finish(
         self,
