--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import copy
 import math
 import random
 import threading
@@ -32,7 +31,6 @@
 from kumquathold_node.metrics import Metrics
 from kumquathold_node.selections import (
     OwnerReport,
-    PlacementPreview,
     Selection,
     SelectionRequest,
     ServiceView,
@@ -92,7 +90,7 @@
         """
         now = monotonic()
         with self.lock:
-            self._update_services(self.membership.view)
+            self.update_services(self.membership.view)
             view = self._find_open_view(selection_request.service.name)
             if view is None:
                 return None
@@ -105,7 +103,7 @@
         now: float,
     ) -> Selection | None:
         service = selection_request.service
-        detector = self._get_detector(service.name)
+        detector = self.get_detector(service.name)
         self.floors[service.name] = service.floor
         ejected = detector.update_ejections(view.slots, service.floor, now)
         self._record_ejections(service.name, ejected)
@@ -175,7 +173,7 @@
     def is_unplaceable(self, selection_request: SelectionRequest) -> bool:
         """Whether upstreams are known, but none where the request may go."""
         with self.lock:
-            self._update_services(self.membership.view)
+            self.update_services(self.membership.view)
             service = selection_request.service.name
             view = self._find_open_view(service)
             if view is None:
@@ -217,7 +215,7 @@
                 )
                 self.durations.add_sample(route, seconds)
             self._record_report(upstream, report, now)
-            detector = self._get_detector(service.name)
+            detector = self.get_detector(service.name)
             if is_already_counted:
                 detector.record_latency(route, upstream, seconds)
                 return
@@ -254,7 +252,7 @@
                 load.record_duration(
                     seconds, self.durations.get_average(route), now
                 )
-            detector = self._get_detector(service.name)
+            detector = self.get_detector(service.name)
             detector.record_outcome(
                 selection.candidate.upstream,
                 sample,
@@ -320,11 +318,11 @@
         """Return the upstreams that this node ejects, by service."""
         now = monotonic()
         with self.lock:
-            self._update_services(view)
+            self.update_services(view)
             for name, floor in self.floors.items():
                 service = self.services.get(name)
                 slots = service.slots if service else {}
-                self.ejected[name] = self._get_detector(name).update_ejections(
+                self.ejected[name] = self.get_detector(name).update_ejections(
                     slots, floor, now
                 )
             return {
@@ -333,36 +331,6 @@
                 if ejected
             }
 
-    def explain(self, service: Service, route: str) -> list[dict[str, object]]:
-        """Return the state of each upstream of a service, for operators."""
-        now = monotonic()
-        with self.lock:
-            self._update_services(self.membership.view)
-            view = self.services.get(service.name)
-            if view is None:
-                return []
-            detector = self._get_detector(service.name)
-            ejected = detector.update_ejections(view.slots, service.floor, now)
-            return [
-                {
-                    'upstream': one.upstream,
-                    'owner': one.owner,
-                    'zone': one.zone,
-                    'distance': rank_distance(
-                        one,
-                        self.zone,
-                        self.region,
-                    ),
-                    'ejected': one.upstream in ejected,
-                    'evidence': detector.get_statistics(
-                        one.upstream, now
-                    ).score,
-                    'avoided': self._is_excluded(one, now),
-                    'limit': self._get_load(one.upstream).limit,
-                }
-                for one in view.candidates
-            ]
-
     def _find_open_view(self, service: str) -> ServiceView | None:
         """Return the upstreams of a service outside of evacuated zones."""
         view = self.services.get(service)
@@ -371,82 +339,21 @@
             return view
         return view.restrict(lambda one: one.zone not in zones)
 
-    def preview(self, selection_request: SelectionRequest) -> PlacementPreview:
-        """Return how a request would be placed now; changes nothing."""
-        now = monotonic()
-        service = selection_request.service
-        with self.lock:
-            view = self.services.get(service.name, ServiceView((), {}))
-            loads = self._copy_loads(view)
-            reasons = {
-                one.upstream: self._find_exclusion(one, selection_request, now)
-                for one in view.candidates
-            }
-            placed = self._make_placement_request(selection_request)
-        ranked = placement.estimate_all(
-            [one for one in view.candidates if not reasons[one.upstream]],
-            loads,
-            placed,
-            service.zones,
-            now,
-        )
-        return PlacementPreview.from_parts(view, ranked, reasons, loads, now)
-
-    def _copy_loads(self, view: ServiceView) -> dict[str, LoadEstimate]:
-        """Return copies of the load estimates, with exchanged loads applied."""
-        loads = {
-            one.upstream: copy.copy(
-                self.loads.get(one.upstream) or LoadEstimate()
-            )
-            for one in view.candidates
-        }
-        for upstream, load in loads.items():
-            known = self.exchanged.find(upstream)
-            if known is not None:
-                load.record_exchanged(known)
-        return loads
-
-    def _find_exclusion(
-        self,
-        candidate: Candidate,
-        selection_request: SelectionRequest,
-        now: float,
-    ) -> str:
-        """Return why a candidate is left out, empty if it is not."""
-        suspects = self.membership.view.suspects
-        ejected = self.ejected.get(selection_request.service.name, set())
-        checks = {
-            'zone evacuated': candidate.zone in self.evacuations.find_zones(),
-            'region not permitted': not is_permitted(
-                candidate.region, selection_request.regions
-            ),
-            'ejected': candidate.upstream in ejected,
-            'leaving': self.exclusions.has_left(candidate, now),
-            'node not reachable': not self.exclusions.is_reachable(
-                candidate, suspects, now
-            ),
-        }
-        return next((reason for reason, holds in checks.items() if holds), '')
-
-    def _is_excluded(self, candidate: Candidate, now: float) -> bool:
-        suspects = self.membership.view.suspects
-        return self.exclusions.has_left(
-            candidate, now
-        ) or not self.exclusions.is_reachable(candidate, suspects, now)
-
     def _get_load(self, upstream: str) -> LoadEstimate:
         return self.loads.setdefault(upstream, LoadEstimate())
 
-    def _get_detector(self, service: str) -> OutlierDetector:
+    def get_detector(self, service: str) -> OutlierDetector:
+        """Return the outlier detector of a service; needs the lock."""
         return self.detectors.setdefault(service, OutlierDetector())
 
-    def _update_services(self, view: FleetView) -> None:
+    def update_services(self, view: FleetView) -> None:
+        """Follow the fleet view; needs the lock."""
         if view.change_count == self.seen_changes:
             return
         self.seen_changes = view.change_count
         self.services = group_by_service(view)
         for name, service in self.services.items():
-            detector = self._get_detector(name)
+            detector = self.get_detector(name)
             detector.remove_absent(set(service.slots))
         present = {
             upstream
@@ -502,7 +409,7 @@
         return placement.find_cheapest(
             usable,
             self.loads,
-            self._make_placement_request(selection_request),
+            self.make_placement_request(selection_request),
             selection_request.service.zones,
             now,
             self.rng,
@@ -528,13 +435,14 @@
             load = self._get_load(chosen.upstream)
             backlog = placement.estimate_backlog(chosen, load, now)
             wait = placement.estimate_wait(chosen, load, backlog, now)
-            placed = self._make_placement_request(selection_request)
+            placed = self.make_placement_request(selection_request)
             return placement.find_max_wait(choice, wait, placed)
         return 0.0 if chosen.zone == self.zone else selection_request.objective
 
-    def _make_placement_request(
+    def make_placement_request(
         self, selection_request: SelectionRequest
     ) -> PlacementRequest:
+        """Return what determines a request's costs; needs the lock."""
         return PlacementRequest(
             zone=self.zone,
             region=self.region,
@@ -571,7 +479,7 @@
         other = placement.find_cheapest(
             near or others,
             self.loads,
-            self._make_placement_request(selection_request),
+            self.make_placement_request(selection_request),
             selection_request.service.zones,
             monotonic(),
             self.rng,
--- a/packages/node/src/kumquathold_node/explanations.py
+++ b/packages/node/src/kumquathold_node/explanations.py
@@ -9,7 +9,7 @@
 from kumquathold_core import routing
 from kumquathold_core.freshness_tracker import FreshnessState
 from kumquathold_core.rules import Route, StalePolicy, Workspace
-from kumquathold_node import request_preview
+from kumquathold_node import placement_views, request_preview
 from kumquathold_node.balancer import Balancer
 from kumquathold_node.configuration import ConfigurationService
 from kumquathold_node.freshness_service import FreshnessService
@@ -48,7 +48,7 @@
             'would_be_refused': _explain_refusal(
                 kernel, call, workspace, route
             ),
-            'upstreams': balancer.explain(service, route.name),
+            'upstreams': placement_views.list_upstreams(balancer, service),
         }
     )
 
--- a/packages/node/src/kumquathold_node/request_preview.py
+++ b/packages/node/src/kumquathold_node/request_preview.py
@@ -21,6 +21,7 @@
 from kumquathold_node.configuration import Configuration, ConfigurationService
 from kumquathold_node.freshness_service import FreshnessService
 from kumquathold_node.kernel import Kernel
+from kumquathold_node.placement_views import preview_placement
 from kumquathold_node.selections import PlacementPreview, SelectionRequest
 
 
@@ -161,7 +162,7 @@
         objective=route.objective or DEFAULT_OBJECTIVE_SECONDS,
         regions=find_permitted_regions(route, workspace),
     )
-    placed = balancer.preview(selection_request)
+    placed = preview_placement(balancer, selection_request)
     refusal = _find_refusal(kernel, route, selection_request, placed)
     weights = {part.service: part.weight for part in route.split}
     total = sum(weights.values())
