Pass targets and headers of callers on as they came; free slots of their process

An empty query was dropped; a caller's own Authorization header beside the key was refused with 400; a call of an upstream's earlier process freed a slot of its successor, whose count then fell below zero.

Change: the target is the one of the request line; only a second key of ours is refused; a request knows the process whose slot it holds.

--- a/packages/node/src/kumquathold_node/caller_requests.py
+++ b/packages/node/src/kumquathold_node/caller_requests.py
@@ -162,8 +162,7 @@
 ) -> CallerRequest:
     """Read a request from a WSGI environment; raises `RequestRefused`."""
     parts = urlsplit(environ['REQUEST_URI'])
-    query = f'?{parts.query}' if parts.query else ''
-    target = f'{parts.path or "/"}{query}'
+    target = _read_target(environ['REQUEST_URI'])
     if not target.startswith('/') or not target.isascii():
         raise RequestRefused(Refusal.malformed)
     headers = _read_headers(environ)
@@ -191,6 +190,22 @@
     )
 
 
+def _read_target(uri: str) -> str:
+    """Return path and query as the caller sent them, without a fragment.
+
+    An empty query stays: upstreams get the target unchanged.
+    """
+    origin, _, _ = uri.partition('#')
+    if '://' in origin.partition('?')[0]:
+        rest = origin.partition('://')[2]
+        start = min(
+            (rest.find(mark) for mark in '/?' if mark in rest),
+            default=len(rest),
+        )
+        origin = rest[start:]
+    return origin if origin.startswith('/') else f'/{origin}'
+
+
 def refuse_exposed_key(request: CallerRequest) -> None:
     """Refuse a request whose key would reach the upstream.
 
@@ -296,7 +311,8 @@
     if authorization.startswith(BEARER):
         bearer = authorization.removeprefix(BEARER).strip()
     named = by_name.get(dialect.key, '').strip()
-    if bearer and named and bearer != named:
+    is_own = parse_key_id(bearer) is not None
+    if named and bearer != named and is_own:
         raise RequestRefused(Refusal.malformed)
     return named or bearer
 
--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -502,9 +502,11 @@
         self.calls.start(upstream.calls, request)
 
     def _free_slot(self, request: OwnerRequest) -> None:
-        upstream = self.upstreams.get(request.message.upstream)
-        if upstream is not None:
-            upstream.end(request)
+        upstream = request.slot_of
+        if upstream is None:
+            return
+        upstream.end(request)
+        if self.upstreams.get(upstream.record.name) is upstream:
             self.queues.start_queued(upstream)
 
     def _finish(
--- a/packages/node/src/kumquathold_node/owner_requests.py
+++ b/packages/node/src/kumquathold_node/owner_requests.py
@@ -72,6 +72,9 @@
     is_probe: bool = False
     """Whether it runs alone, as the request before it has failed."""
 
+    slot_of: Upstream | None = None
+    """The upstream's process whose slot it holds."""
+
     @property
     def request_id(self) -> RequestId:
         """Identifier of the attempt."""
@@ -220,6 +223,7 @@
     def begin(self, request: OwnerRequest, now: float) -> None:
         """Count a request that starts now."""
         request.started_at = now
+        request.slot_of = self
         request.is_probe = self.failure_risk.begin_request()
         self.in_use += 1
         self.limiter.record_start(now)
@@ -227,6 +231,7 @@
 
     def end(self, request: OwnerRequest) -> None:
         """Free the slot of a request."""
+        request.slot_of = None
         self.in_use -= 1
         if request.is_probe:
             request.is_probe = False
--- a/tests/test_owner_beliefs.py
+++ b/tests/test_owner_beliefs.py
@@ -27,6 +27,23 @@
         self.assertTrue(published.ready)
 
 
+class RestartedUpstreamTest(unittest.TestCase):
+    """A new process takes the name while a call of the earlier one runs."""
+
+    def test_call_of_the_earlier_process_frees_no_slot_of_the_new_one(
+        self,
+    ) -> None:
+        """The new process would run more requests than it has slots."""
+        stage = OwnerStage.for_test(self)
+        stage.announce(lifetime=7)
+        stage.send(1)
+        upstream = stage.announce(lifetime=8)
+        assert upstream is not None
+        failure = CallFailed(Outcome.unknown, Refusal.upstream_failed)
+        stage.owner.on_call_failed(CallFailedEvent(stage.started[0], failure))
+        self.assertEqual(upstream.in_use, 0)
+
+
 class SuspectQueueTest(unittest.TestCase):
     """An upstream that turns gray fails each request within milliseconds."""
 
