Tell no loads to peers that may be lost, and few to other zones

Cause: a peer that is suspected or dead counted as one of the own zone, so each heartbeat to it carried up to 128 loads.

Change: the zone is the one of the peer's record; a peer that may be lost gets no loads.

--- a/packages/node/src/kumquathold_node/load_exchange.py
+++ b/packages/node/src/kumquathold_node/load_exchange.py
@@ -64,24 +64,31 @@
         if self.limit and reports:
             self.kernel.find('balancer').apply_route_reports(reports)
 
-    def make_route_reports(self, *, is_far: bool) -> tuple[RouteReport, ...]:
+    def make_route_reports(
+        self, view: FleetView, peer: str
+    ) -> tuple[RouteReport, ...]:
         """Return what this ingress has measured of routes, for its zone."""
-        if not self.limit or is_far:
+        if not self.limit or _find_zone(view, peer) != self.zone:
             return ()
         balancer: Balancer = self.kernel.find('balancer')
         return balancer.make_route_reports()
 
     def make_reports(
-        self, view: FleetView, *, is_far: bool
+        self, view: FleetView, peer: str
     ) -> tuple[LoadReport, ...]:
-        """Return the loads to report to a peer."""
-        if not self.limit:
+        """Return the loads to report to a peer.
+
+        One that may be lost gets none: most heartbeats to such peers go
+        astray, and there are many of them while a region is cut off.
+        """
+        zone = _find_zone(view, peer)
+        if not self.limit or not zone:
             return ()
         now = monotonic()
         with self.lock:
             self._record_own(now)
             self.table.forget_old(now)
-            if not is_far:
+            if zone == self.zone:
                 return self.table.make_reports(now, self.limit, _is_any)
             self._update_zone_keys(view)
             limit = max(1, round(self.limit * FAR_LIMIT_SHARE))
@@ -106,5 +113,13 @@
         )
 
 
+def _find_zone(view: FleetView, peer: str) -> str:
+    """Return the zone of a peer, empty if it may be lost."""
+    node = view.by_address.get(peer)
+    if node is None or peer in view.suspects:
+        return ''
+    return node.zone
+
+
 def _is_any(_: int) -> bool:
     return True
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -205,7 +205,6 @@
         self.evacuations.record_peer_reading(ping.evacuations)
         self.loads.merge(ping.loads)
         self.loads.merge_routes(ping.routes)
-        is_far = self.peers.is_far(envelope.sender)
         pong = gossip.Pong(
             number=ping.number,
             on_behalf_of=ping.on_behalf_of,
@@ -218,8 +217,8 @@
                 *_make_refutation(self.table, ping.updates),
             ),
             evacuations=self.evacuations.make_report(),
-            loads=self.loads.make_reports(self.view, is_far=is_far),
-            routes=self.loads.make_route_reports(is_far=is_far),
+            loads=self.loads.make_reports(self.view, envelope.sender),
+            routes=self.loads.make_route_reports(self.view, envelope.sender),
         )
         self.transport.try_send(envelope.sender, pong)
         self.freshness.record_peer_version(envelope.sender, ping.freshness)
@@ -347,7 +346,6 @@
         on_behalf_of: str = '',
         origin_number: int = 0,
     ) -> gossip.Ping:
-        is_far = self.peers.is_far(peer)
         return gossip.Ping(
             number=number,
             on_behalf_of=on_behalf_of,
@@ -356,8 +354,8 @@
             freshness=self.freshness.make_report(),
             updates=self._take_updates_for(peer),
             evacuations=self.evacuations.make_report(),
-            loads=self.loads.make_reports(self.view, is_far=is_far),
-            routes=self.loads.make_route_reports(is_far=is_far),
+            loads=self.loads.make_reports(self.view, peer),
+            routes=self.loads.make_route_reports(self.view, peer),
         )
 
     def _ping(self, peer: str, now: float) -> None:
