Keep the choice of an upstream about as cheap as before

Cause: the costs by cause are one more object for each candidate.

Change: these objects are not tracked by the garbage collector, and the distance is not computed twice where all zones are allowed.

--- a/packages/core/src/kumquathold_core/placement.py
+++ b/packages/core/src/kumquathold_core/placement.py
@@ -308,7 +308,7 @@
     )
 
 
-class CostParts(msgspec.Struct, frozen=True):
+class CostParts(msgspec.Struct, frozen=True, gc=False):
     """What sending a request to one candidate costs, by cause."""
 
     wait_seconds: float
@@ -417,7 +417,7 @@
     return max(longest, wait) + margin
 
 
-class RankedCandidate(msgspec.Struct, frozen=True):
+class RankedCandidate(msgspec.Struct, frozen=True, gc=False):
     """A candidate with its cost."""
 
     candidate: Candidate
@@ -453,12 +453,15 @@
         min_backlog = 0.0 if one.zone == request.zone else far_backlog
         return estimate_parts(one, report, request, now, min_backlog)
 
-    return [
-        RankedCandidate(one, parts_of(one))
-        for one in candidates
-        if rank_distance(one, request.zone, request.region)
-        <= MAX_DISTANCE[scope]
-    ]
+    within = candidates
+    if scope != ZoneScope.any:
+        within = [
+            one
+            for one in candidates
+            if rank_distance(one, request.zone, request.region)
+            <= MAX_DISTANCE[scope]
+        ]
+    return [RankedCandidate(one, parts_of(one)) for one in within]
 
 
 def find_cheapest(
