Space the requests of an upstream that failed, and wait for none of them

Cause: after a failure an upstream ran one request at a time until one succeeded. One that hung, or took long, kept the upstream idle for seconds.

--- a/packages/core/src/kumquathold_core/failure_risk.py
+++ b/packages/core/src/kumquathold_core/failure_risk.py
@@ -6,7 +6,7 @@
 gray by Bayes' rule. Between outcomes the belief relaxes towards the share of
 gray upstreams, because gray periods begin and end without being observed. One
 failure makes an upstream suspect for about two seconds; one success clears it.
-After a failure it gets one request at a time until one succeeds.
+After a failure its requests start one after the other, until one succeeds.
 
 The estimate only biases placement: requests go elsewhere while that costs
 little. It needs no floor, since a request with no better choice still runs at
@@ -70,7 +70,7 @@
     __slots__ = (
         'belief',
         'has_failed_last',
-        'probes_in_flight',
+        'started_at',
         'trials_in_flight',
         'updated_at',
     )
@@ -81,8 +81,8 @@
         self.updated_at = 0.0
         self.trials_in_flight = 0
         self.has_failed_last = False
-        self.probes_in_flight = 0
-        """Requests started since the latest outcome, which was a failure."""
+        self.started_at = -math.inf
+        """When the latest request started."""
 
     def record_outcome(self, now: float, *, failed: bool) -> None:
         """Update the belief with the outcome of a request."""
@@ -91,24 +91,20 @@
         self.updated_at = now
         self.has_failed_last = failed
 
-    def may_start(self) -> bool:
-        """Whether a further request may start before the next outcome.
+    def may_start(self, now: float) -> bool:
+        """Whether a request may start.
 
-        After a failure one does, which shows whether the gray period is over.
+        After a failure they start `TRIAL_INTERVAL_SECONDS` apart, so that the
+        first ones show whether the gray period is over. Waiting for the
+        outcome of each would leave an upstream idle while one hangs.
         """
-        return not self.has_failed_last or not self.probes_in_flight
+        if not self.has_failed_last:
+            return True
+        return now - self.started_at >= TRIAL_INTERVAL_SECONDS
 
-    def begin_request(self) -> bool:
-        """Count a request that starts; return whether it is a probe.
-
-        The end of a probe must be passed to `end_probe`.
-        """
-        self.probes_in_flight += int(self.has_failed_last)
-        return self.has_failed_last
-
-    def end_probe(self) -> None:
-        """Let the next probe start."""
-        self.probes_in_flight = max(0, self.probes_in_flight - 1)
+    def record_start(self, now: float) -> None:
+        """Record that a request starts."""
+        self.started_at = now
 
     def estimate_risk(self, now: float) -> float:
         """Return the probability that the next request fails."""
--- a/packages/node/src/kumquathold_node/owner_requests.py
+++ b/packages/node/src/kumquathold_node/owner_requests.py
@@ -69,9 +69,6 @@
     is_trial: bool = False
     """Whether it is the trial request of a suspect upstream."""
 
-    is_probe: bool = False
-    """Whether it runs alone, as the request before it has failed."""
-
     slot_of: Upstream | None = None
     """The upstream's process whose slot it holds."""
 
@@ -218,13 +215,13 @@
         """Whether a slot is free, and neither limits nor risk forbid it."""
         has_slot = self.in_use < self.record.slots
         is_allowed = self.limiter.may_start(now) and self.cold.may_start(now)
-        return has_slot and is_allowed and self.failure_risk.may_start()
+        return has_slot and is_allowed and self.failure_risk.may_start(now)
 
     def begin(self, request: OwnerRequest, now: float) -> None:
         """Count a request that starts now."""
         request.started_at = now
         request.slot_of = self
-        request.is_probe = self.failure_risk.begin_request()
+        self.failure_risk.record_start(now)
         self.in_use += 1
         self.limiter.record_start(now)
         self.cold.record_start(now)
@@ -233,9 +230,6 @@
         """Free the slot of a request."""
         request.slot_of = None
         self.in_use -= 1
-        if request.is_probe:
-            request.is_probe = False
-            self.failure_risk.end_probe()
 
     def estimate_limit_wait(self, ahead: int, now: float) -> float:
         """Return the seconds until its limits allow a start behind others."""
--- a/tests/test_owner_beliefs.py
+++ b/tests/test_owner_beliefs.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from kumquathold_core.failure_risk import TRIAL_INTERVAL_SECONDS
 from kumquathold_core.forwarding import Outcome, Refusal
 from kumquathold_node.owner_calls import CallFailedEvent, CallSucceededEvent
 from kumquathold_node.upstream_calls import CallFailed
@@ -65,6 +66,24 @@
             self.assertEqual(failure.outcome, Outcome.not_run)
             self.assertEqual(failure.reason, Refusal.upstream_suspect)
 
+    def test_request_that_hangs_does_not_keep_the_upstream_idle(self) -> None:
+        """After a failure, requests waited for the outcome of one that hung."""
+        stage = OwnerStage.for_test(self)
+        upstream = stage.announce(slots=4)
+        assert upstream is not None
+        stage.send(1)
+        failed = UpstreamResponse(500, (), b'', 0.001)
+        stage.owner.on_call_succeeded(
+            CallSucceededEvent(stage.started[0], failed)
+        )
+        for number in range(2, 5):
+            stage.send(number, max_risk=1.0)
+        self.assertEqual(len(stage.started), 1)
+        for count in (2, 3):
+            upstream.failure_risk.started_at -= TRIAL_INTERVAL_SECONDS
+            stage.owner.on_tick()
+            self.assertEqual(len(stage.started), count)
+
 
 if __name__ == '__main__':
     unittest.main()
