Let the soak hold region-bound requests inside their regions

Cause: the soak did not know the new promises. Change: a kind of request bound to two regions, and a check of where it ran.

--- a/packages/standins/src/kumquathold_standins/soak.py
+++ b/packages/standins/src/kumquathold_standins/soak.py
@@ -120,6 +120,11 @@
         self.fleet = fleet
         self.plan = plan
         self.recorder = Recorder()
+        self.recorder.regions = {
+            upstream.address: node.vm.region
+            for node in fleet.nodes
+            for upstream in node.upstreams
+        }
         self.restarts = soak_load.RestartCounter(len(fleet.nodes))
         self.context = FaultContext(fleet, self.recorder, self.restarts)
         self.operator = soak_load.Operator(fleet, self.recorder, plan.seed)
--- a/packages/standins/src/kumquathold_standins/soak_checks.py
+++ b/packages/standins/src/kumquathold_standins/soak_checks.py
@@ -32,7 +32,9 @@
 LIMITED_BURST = 20
 LIMITED_DEADLINE_SECONDS = 1.0
 CLOCK_TOLERANCE_SECONDS = 0.05
-NON_IDEMPOTENT_KINDS = frozenset(('note', 'hold', 'guest'))
+BOUND_KIND = 'bound'
+BOUND_REGIONS = frozenset(('north', 'east'))
+NON_IDEMPOTENT_KINDS = frozenset(('note', 'hold', 'guest', BOUND_KIND))
 PROBE_KIND = 'probe'
 GUEST_KIND = 'guest'
 NO_ROUTE = 'no-route'
@@ -103,6 +105,15 @@
             yield f'{run.operation} of {owner} ran for {ran_for or "nobody"}'
 
 
+def bound_requests_stay_inside(history: History) -> Iterator[str]:
+    """Check that bound requests run in the regions of their route only."""
+    for run in history.runs:
+        region = history.regions.get(run.upstream)
+        is_bound = run.operation.startswith(f'{BOUND_KIND}-')
+        if is_bound and region is not None and region not in BOUND_REGIONS:
+            yield f'{run.operation} ran in {region}'
+
+
 def rates_hold(history: History) -> Iterator[str]:
     """Check that the runs in any period stay within rate and burst.
 
@@ -245,6 +256,7 @@
     refusals_are_true,
     answers_are_own,
     keys_stay_inside,
+    bound_requests_stay_inside,
     rates_hold,
     versions_never_revert,
     versions_come_into_force,
--- a/packages/standins/src/kumquathold_standins/soak_history.py
+++ b/packages/standins/src/kumquathold_standins/soak_history.py
@@ -94,6 +94,9 @@
     runs: tuple[Run, ...] = ()
     """Runs that upstreams wrote to their ledger."""
 
+    regions: dict[str, str] = {}
+    """Region of each upstream, by its address."""
+
     healed_at: float = msgspec.field(default=float('inf'), name='calm_since')
     """Time at which all faults had been undone; infinite before that."""
 
@@ -108,6 +111,7 @@
         self.accepted: list[VersionRecord] = []
         self.ended: list[ShutdownRecord] = []
         self.healed_at = float('inf')
+        self.regions: dict[str, str] = {}
 
     def record(
         self, record: RequestRecord | VersionRecord | ShutdownRecord
@@ -133,6 +137,7 @@
                 accepted=tuple(self.accepted),
                 ended=tuple(self.ended),
                 runs=(),
+                regions=dict(self.regions),
                 healed_at=self.healed_at,
             )
         return msgspec.structs.replace(history, runs=tuple(read_ledger()))
--- a/packages/standins/src/kumquathold_standins/soak_load.py
+++ b/packages/standins/src/kumquathold_standins/soak_load.py
@@ -24,6 +24,8 @@
 from kumquathold_standins.fleet import Fleet
 from kumquathold_standins.processes import Node
 from kumquathold_standins.soak_checks import (
+    BOUND_KIND,
+    BOUND_REGIONS,
     GUEST_KIND,
     LIMITED_BURST,
     LIMITED_DEADLINE_SECONDS,
@@ -58,6 +60,8 @@
     'route GET /diffs/* service=listings deadline=5s',
     'route POST /notes service=holds deadline=5s',
     'route POST /holds service=holds once deadline=8s',
+    'route POST /bound service=holds deadline=5s '
+    f'regions={",".join(sorted(BOUND_REGIONS))}',
     'route PUT /files/* service=holds idempotent body=16MB',
     f'route GET /limited/* service=listings '
     f'deadline={LIMITED_DEADLINE_SECONDS:.0f}s',
@@ -94,6 +98,7 @@
     RequestKind(
         'file', 'PUT', '/files/{operation}', body_bytes=LARGE_BODY_BYTES
     ),
+    RequestKind(BOUND_KIND, 'POST', '/bound', body_bytes=SMALL_BODY_BYTES),
     RequestKind(PROBE_KIND, 'GET', '/probe-{version}/1', workspace=''),
     RequestKind(
         GUEST_KIND,
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -81,6 +81,17 @@
         found = find_violations(History(accepted=VERSIONS, **fields))
         return {violation.check for violation in found}
 
+    def test_bound_request_that_ran_outside_its_regions_is_found(self) -> None:
+        runs = tuple(
+            make_run(operation=f'bound-{region}', upstream=region)
+            for region in ('north', 'south')
+        )
+        regions = {'north': 'north', 'south': 'south'}
+        broken = self.find_broken(runs=runs, regions=regions)
+        self.assertIn('bound_requests_stay_inside', broken)
+        kept = self.find_broken(runs=runs[:1], regions=regions)
+        self.assertNotIn('bound_requests_stay_inside', kept)
+
     def test_valid_history_has_no_violations(self) -> None:
         self.assertEqual(self.find_broken(sent=(REQUEST,), runs=(RUN,)), set())
 
