Let one request start at once after a failure

A sound one that fails now and then, as all do, lost more than a second of its work each time.

Change: the first request after a failure starts at once, and a further one each 0.8 s while that one has no outcome.

--- a/packages/core/src/kumquathold_core/failure_risk.py
+++ b/packages/core/src/kumquathold_core/failure_risk.py
@@ -6,7 +6,7 @@
 gray by Bayes' rule. Between outcomes the belief relaxes towards the share of
 gray upstreams, because gray periods begin and end without being observed. One
 failure makes an upstream suspect for about two seconds; one success clears it.
-After a failure its requests start one after the other, until one succeeds.
+After a failure it gets few requests until one succeeds.
 
 The estimate only biases placement: requests go elsewhere while that costs
 little. It needs no floor, since a request with no better choice still runs at
@@ -70,6 +70,7 @@
     __slots__ = (
         'belief',
         'has_failed_last',
+        'is_tried_since',
         'started_at',
         'trials_in_flight',
         'updated_at',
@@ -81,6 +82,8 @@
         self.updated_at = 0.0
         self.trials_in_flight = 0
         self.has_failed_last = False
+        self.is_tried_since = False
+        """Whether a request has started since the latest outcome."""
         self.started_at = -math.inf
         """When the latest request started."""
 
@@ -90,20 +93,21 @@
         self.belief = update_belief(relaxed, failed=failed)
         self.updated_at = now
         self.has_failed_last = failed
+        self.is_tried_since = False
 
     def may_start(self, now: float) -> bool:
         """Whether a request may start.
 
-        After a failure they start `TRIAL_INTERVAL_SECONDS` apart, so that the
-        first ones show whether the gray period is over. Waiting for the
-        outcome of each would leave an upstream idle while one hangs.
+        After a failure one does, which shows whether the gray period is over;
+        and a further one each `TRIAL_INTERVAL_SECONDS`, as that one may hang.
         """
-        if not self.has_failed_last:
+        if not self.has_failed_last or not self.is_tried_since:
             return True
         return now - self.started_at >= TRIAL_INTERVAL_SECONDS
 
     def record_start(self, now: float) -> None:
         """Record that a request starts."""
+        self.is_tried_since = True
         self.started_at = now
 
     def estimate_risk(self, now: float) -> float:
