--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -14,13 +14,14 @@
 
 from loguru import logger
 
-from kumquathold_core import placement, route_reports
+from kumquathold_core import load_estimates, placement, route_reports
 from kumquathold_core.candidates import Candidate, rank_distance
 from kumquathold_core.ejection import OutcomeSample, OutlierDetector
 from kumquathold_core.failure_risk import SUSPECT_RISK
 from kumquathold_core.forwarding import Refusal
+from kumquathold_core.load_estimates import LoadEstimate
 from kumquathold_core.permitted_regions import PermittedRegions, is_permitted
-from kumquathold_core.placement import Choice, LoadEstimate, PlacementRequest
+from kumquathold_core.placement import Choice, PlacementRequest
 from kumquathold_core.route_reports import RouteReport
 from kumquathold_core.rules import Service
 from kumquathold_core.smoothing import RouteAverages
@@ -66,7 +67,7 @@
         self.rng = random.Random(settings.peer)
         self.loads: dict[str, LoadEstimate] = {}
         self.sizes = RouteAverages(DEFAULT_KILOBYTES)
-        self.durations = RouteAverages(placement.DEFAULT_SERVICE_SECONDS)
+        self.durations = RouteAverages(load_estimates.DEFAULT_SERVICE_SECONDS)
         self.explore_share = settings.explore_share
         self.kilobyte_costs = (
             0.0,
@@ -433,8 +434,8 @@
             return math.inf
         if self.exchanged.limit:
             load = self._get_load(chosen.upstream)
-            backlog = placement.estimate_backlog(chosen, load, now)
-            wait = placement.estimate_wait(chosen, load, backlog, now)
+            backlog = load_estimates.estimate_backlog(chosen, load, now)
+            wait = load_estimates.estimate_wait(chosen, load, backlog, now)
             placed = self.make_placement_request(selection_request)
             return placement.find_max_wait(choice, wait, placed)
         return 0.0 if chosen.zone == self.zone else selection_request.objective
--- a/packages/node/src/kumquathold_node/placement_views.py
+++ b/packages/node/src/kumquathold_node/placement_views.py
@@ -9,8 +9,8 @@
 
 from kumquathold_core import placement
 from kumquathold_core.candidates import Candidate, rank_distance
+from kumquathold_core.load_estimates import LoadEstimate
 from kumquathold_core.permitted_regions import is_permitted
-from kumquathold_core.placement import LoadEstimate
 from kumquathold_core.rules import Service
 from kumquathold_node.balancer import Balancer
 from kumquathold_node.selections import (
--- a/packages/node/src/kumquathold_node/selections.py
+++ b/packages/node/src/kumquathold_node/selections.py
@@ -7,12 +7,9 @@
 import msgspec
 
 from kumquathold_core.candidates import Candidate
+from kumquathold_core.load_estimates import LoadEstimate
 from kumquathold_core.permitted_regions import PermittedRegions
-from kumquathold_core.placement import (
-    CostParts,
-    LoadEstimate,
-    RankedCandidate,
-)
+from kumquathold_core.placement import CostParts, RankedCandidate
 from kumquathold_core.rules import Service
 from kumquathold_core.upstream_statements import UpstreamStatement
 from kumquathold_node.membership import FleetView
--- a/tests/load_stage.py
+++ b/tests/load_stage.py
@@ -15,8 +15,9 @@
 
 from kumquathold_core import placement
 from kumquathold_core.candidates import Candidate
+from kumquathold_core.load_estimates import LoadEstimate
 from kumquathold_core.load_table import KnownLoad
-from kumquathold_core.placement import LoadEstimate, PlacementRequest
+from kumquathold_core.placement import PlacementRequest
 from kumquathold_core.rules import ZoneScope
 
 START = 100.0
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -13,7 +13,8 @@
 from kumquathold_core.candidates import Candidate
 from kumquathold_core.cold_limiter import ColdLimiter
 from kumquathold_core.forwarding import Refusal
-from kumquathold_core.placement import LoadEstimate, PlacementRequest
+from kumquathold_core.load_estimates import LoadEstimate
+from kumquathold_core.placement import PlacementRequest
 from kumquathold_core.rules import Rules, Service, ZoneScope
 from tests.owner_stage import OwnerStage
 from tests.test_permitted_regions import make_configuration
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -22,8 +22,9 @@
 from kumquathold_core.candidates import Candidate, rank_distance
 from kumquathold_core.forwarding import Outcome, Refusal
 from kumquathold_core.identity import RequestId
+from kumquathold_core.load_estimates import LoadEstimate
 from kumquathold_core.operator_auth import SignedCall
-from kumquathold_core.placement import LoadEstimate, PlacementRequest
+from kumquathold_core.placement import PlacementRequest
 from kumquathold_core.request_registry import (
     RETENTION_SECONDS,
     RequestRegistry,
--- a/tests/test_limit_recovery.py
+++ b/tests/test_limit_recovery.py
@@ -8,7 +8,8 @@
 from kumquathold_core import placement
 from kumquathold_core.candidates import Candidate
 from kumquathold_core.identity import UpstreamRecord
-from kumquathold_core.placement import LoadEstimate, PlacementRequest
+from kumquathold_core.load_estimates import LoadEstimate
+from kumquathold_core.placement import PlacementRequest
 from kumquathold_core.rules import ZoneScope
 from kumquathold_core.upstream_statements import (
     KnownStatement,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -9,7 +9,8 @@
 
 from kumquathold_core import placement
 from kumquathold_core.candidates import Candidate
-from kumquathold_core.placement import LoadEstimate, PlacementRequest
+from kumquathold_core.load_estimates import LoadEstimate
+from kumquathold_core.placement import PlacementRequest
 from kumquathold_core.rules import ZoneScope
 
 SLOTS = 4
--- a/tests/test_start_limiter.py
+++ b/tests/test_start_limiter.py
@@ -7,11 +7,12 @@
 
 import msgspec
 
-from kumquathold_core import admission, placement
+from kumquathold_core import admission, load_estimates, placement
 from kumquathold_core.admission import UpstreamLoad
 from kumquathold_core.candidates import Candidate
 from kumquathold_core.forwarding import Refusal
-from kumquathold_core.placement import LoadEstimate, PlacementRequest
+from kumquathold_core.load_estimates import LoadEstimate
+from kumquathold_core.placement import PlacementRequest
 from kumquathold_core.rules import ZoneScope
 from kumquathold_core.start_limiter import MIN_STARTS_PER_SECOND, StartLimiter
 from kumquathold_core.statement_table import StatementTable
@@ -140,14 +141,14 @@
         near = Candidate('near', 'near', 'a', 'r', 4, limit=1.0)
         load = LoadEstimate(reported_at=100.0)
         waits = [
-            placement.estimate_limit_wait(near, load, now)
+            load_estimates.estimate_limit_wait(near, load, now)
             for now in (100.5, 200.0)
         ]
         self.assertEqual(waits, [0.0, 1.0])
         lifted = msgspec.structs.replace(near, limit=None)
         load.record_limit(1.0, 0.3, 100.0)
         waits = [
-            placement.estimate_limit_wait(lifted, load, now)
+            load_estimates.estimate_limit_wait(lifted, load, now)
             for now in (100.0, 101.5, 103.0)
         ]
         self.assertEqual([round(wait, 3) for wait in waits], [0.3, 1.0, 0.0])
