Keep the bound of a request whose route is removed meanwhile

Read from the code. Change: the bounds at its admission and those in force both count. Result: a test of the intersection.

--- a/packages/core/src/kumquathold_core/permitted_regions.py
+++ b/packages/core/src/kumquathold_core/permitted_regions.py
@@ -32,6 +32,15 @@
     return frozenset(named[0]).intersection(*named[1:])
 
 
+def intersect(
+    first: PermittedRegions, second: PermittedRegions
+) -> PermittedRegions:
+    """Return the regions that two bounds permit."""
+    if first is None or second is None:
+        return second if first is None else first
+    return first & second
+
+
 def is_permitted(region: str, permitted: PermittedRegions) -> bool:
     """Whether a request may be sent to a region."""
     return permitted is None or region in permitted
--- a/packages/node/src/kumquathold_node/ingress.py
+++ b/packages/node/src/kumquathold_node/ingress.py
@@ -21,6 +21,7 @@
 from kumquathold_core.permitted_regions import (
     PermittedRegions,
     find_permitted_regions,
+    intersect,
 )
 from kumquathold_core.placement import DEFAULT_OBJECTIVE_SECONDS
 from kumquathold_core.ranks import NESTED_CALL_RANK
@@ -306,15 +307,20 @@
         )
 
     def _find_regions(self, admitted: AdmittedRequest) -> PermittedRegions:
-        """Return the regions that the rules in force permit.
+        """Return the regions that may serve a request.
 
-        They may have changed since the request was admitted.
+        Both the rules that it was admitted under and those in force bind: its
+        route may be gone since, and with it what bound the request.
         """
+        at_admission = find_permitted_regions(
+            admitted.route, admitted.workspace
+        )
         current = self.configuration.current
         if current is admitted.configuration:
-            return find_permitted_regions(admitted.route, admitted.workspace)
+            return at_admission
         workspace = admitted.workspace.name if admitted.workspace else ''
-        return find_current_regions(current, admitted.route.name, workspace)
+        in_force = find_current_regions(current, admitted.route.name, workspace)
+        return intersect(at_admission, in_force)
 
     def _may_send_trial(self, service: str) -> bool:
         """Whether a retry is likely to be affordable if a trial fails."""
--- a/tests/test_permitted_regions.py
+++ b/tests/test_permitted_regions.py
@@ -143,6 +143,18 @@
         self.assertEqual(self.find(('north', 'east'), ('north',)), NORTH)
         self.assertEqual(self.find(('east',), ('north',)), frozenset())
 
+    def test_bounds_of_two_configurations_are_intersected(self) -> None:
+        """A route that is removed meanwhile would bind no retry any more."""
+        east = frozenset(('north', 'east'))
+        for first, second, expected in (
+            (None, None, None),
+            (NORTH, None, NORTH),
+            (None, NORTH, NORTH),
+            (NORTH, east, NORTH),
+        ):
+            found = permitted_regions.intersect(first, second)
+            self.assertEqual(found, expected)
+
     def test_rules_without_a_common_region_are_refused(self) -> None:
         """Else each request of that workspace would be refused for good."""
         lines = [
