Spread the times at which refused callers return

Cause: each caller refused for want of room was told to return after one second, so that those of a burst returned together.

--- a/packages/node/src/kumquathold_node/owner.py
+++ b/packages/node/src/kumquathold_node/owner.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import http
+import random
 from concurrent.futures import ThreadPoolExecutor
 from time import monotonic
 from typing import TYPE_CHECKING, Any
@@ -86,6 +87,7 @@
         self.membership: Membership = kernel.find('membership')
         self.claims: claims_service.ClaimsService = kernel.find('claims')
         self.metrics: Metrics = kernel.find('metrics')
+        self.rng = random.Random(self.transport.incarnation)
         self.registry = RequestRegistry()
         self.intake = RequestIntake(
             self.metrics,
@@ -539,14 +541,20 @@
         self.metrics.count(f'owner.refused.{reason.value}')
         self.requests.pop(request.request_id, None)
         upstream = self.upstreams.get(request.message.upstream)
+        retry_after = 0.0
         if upstream is not None:
             owner_outcomes.end_trial(upstream, request)
+            if reason in owner_replies.OVERLOAD_REFUSALS:
+                retry_after = upstream.choose_retry_after(
+                    request, monotonic(), self.rng
+                )
         failure = owner_replies.make_failure(
             request.request_id,
             outcome,
             reason,
             upstream,
             crashed=crashed,
+            retry_after=retry_after,
         )
         self.registry.store_failure(failure)
         self.transport.try_send(request.reply_to, failure)
--- a/packages/node/src/kumquathold_node/owner_replies.py
+++ b/packages/node/src/kumquathold_node/owner_replies.py
@@ -23,7 +23,8 @@
 
 Reply = TypeVar('Reply', forwarding.ForwardResponse, forwarding.FailureResponse)
 
-OVERLOAD_RETRY_SECONDS = 1.0
+OVERLOAD_REFUSALS = frozenset((Refusal.overloaded, Refusal.upstream_shed))
+"""Refusals after which a caller is told when it may return."""
 
 
 class OwnerReplies:
@@ -162,18 +163,18 @@
     upstream: Upstream | None = None,
     *,
     crashed: bool = False,
+    retry_after: float = 0.0,
 ) -> forwarding.FailureResponse:
     """Build the message that a request got no response.
 
-    It tells the load of `upstream`. An overload sets `retry_after` to
-    `OVERLOAD_RETRY_SECONDS`.
+    It tells the load of `upstream`, and in `retry_after` the seconds after
+    which the caller may return, 0 if unknown.
     """
-    is_overload = reason in {Refusal.overloaded, Refusal.upstream_shed}
     failure = forwarding.FailureResponse(
         request=request_id,
         outcome=outcome,
         reason=reason,
-        retry_after=OVERLOAD_RETRY_SECONDS if is_overload else 0,
+        retry_after=retry_after,
         crashed=crashed,
     )
     return _add_load(failure, upstream)
--- a/packages/node/src/kumquathold_node/owner_requests.py
+++ b/packages/node/src/kumquathold_node/owner_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 from time import monotonic
 
 import msgspec
@@ -14,6 +15,7 @@
 from kumquathold_core.forwarding import ForwardRequest
 from kumquathold_core.identity import RequestId, UpstreamRecord
 from kumquathold_core.retries import RetryBudget
+from kumquathold_core.retry_after import choose_retry_after
 from kumquathold_core.start_limiter import StartLimiter
 from kumquathold_core.upstream_statements import KnownStatement
 from kumquathold_node.body_memory import BodyMemory, Reservation
@@ -277,6 +279,15 @@
             if now + self.estimate_wait(ahead, now) + needed > end_at
         ]
 
+    def choose_retry_after(
+        self, request: OwnerRequest, now: float, rng: random.Random
+    ) -> float:
+        """Return the seconds after which a refused caller may return."""
+        ahead = self.queue.count_ahead_of(request.message.rank)
+        return choose_retry_after(
+            self.estimate_wait(ahead, now), request.message.deadline - now, rng
+        )
+
     def estimate_wait(self, ahead: int, now: float) -> float:
         """Return the seconds until a request behind `ahead` others starts."""
         return admission.estimate_wait(self.measure_load(now, ahead))
