Bound the wait of an explored upstream by its own load

Cause: the wait up to which an owner keeps a request was computed for the cheapest upstream also where another was explored in its place. Read from the code; the users' deployments do not explore. Change: it follows the upstream that was chosen. Result: tests pass unchanged.

--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -12,6 +12,7 @@
 import threading
 from time import monotonic
 
+import msgspec
 from loguru import logger
 
 from kumquathold_core import load_estimates, placement, route_reports
@@ -123,10 +124,11 @@
         choice = self._choose_candidate(usable, selection_request, trial, now)
         if choice is None:
             return None
-        max_wait = self._max_wait_of(choice, usable, selection_request, now)
         chosen = choice.candidate
         if chosen.upstream != trial and not selection_request.refused_by:
             chosen = self._explore(detector, chosen, usable, selection_request)
+            choice = msgspec.structs.replace(choice, candidate=chosen)
+        max_wait = self._max_wait_of(choice, usable, selection_request, now)
         selection = Selection(
             candidate=chosen,
             is_trial=chosen.upstream in ejected,
