Send requests that cannot be repeated to upstreams of lower risk only

Cause: since suspicion relaxes sooner, a suspect upstream got requests of any kind after two seconds, and those that cannot be repeated were lost where it was still gray.

Change: an owner returns such a request above a risk of 0.35, 0.5 for the others.

--- a/packages/core/src/kumquathold_core/failure_risk.py
+++ b/packages/core/src/kumquathold_core/failure_risk.py
@@ -33,6 +33,12 @@
 """
 
 SUSPECT_RISK = 0.5
+ONCE_ONLY_RISK = 0.35
+"""Risk up to which an upstream gets requests that cannot be repeated.
+
+They are lost with a failure; others may find out whether a gray period is over.
+"""
+
 
 TRIAL_INTERVAL_SECONDS = 0.8
 """Time without an outcome after which a suspect may get a trial request."""
--- a/packages/node/src/kumquathold_node/balancer.py
+++ b/packages/node/src/kumquathold_node/balancer.py
@@ -18,7 +18,7 @@
 from kumquathold_core import load_estimates, placement, route_reports
 from kumquathold_core.candidates import Candidate, rank_distance
 from kumquathold_core.ejection import OutcomeSample, OutlierDetector
-from kumquathold_core.failure_risk import SUSPECT_RISK
+from kumquathold_core.failure_risk import ONCE_ONLY_RISK, SUSPECT_RISK
 from kumquathold_core.forwarding import Refusal
 from kumquathold_core.load_estimates import LoadEstimate
 from kumquathold_core.permitted_regions import PermittedRegions, is_permitted
@@ -528,4 +528,6 @@
     usable: list[Candidate],
     selection_request: SelectionRequest,
 ) -> float:
-    return 1.0 if _is_final(chosen, usable, selection_request) else SUSPECT_RISK
+    if _is_final(chosen, usable, selection_request):
+        return 1.0
+    return SUSPECT_RISK if selection_request.idempotent else ONCE_ONLY_RISK
