Read the clocks of other zones' peers without updates and loads

Cause: an ingress pings an owner before its first request there, to read its clock, and the ping and its answer carried up to eight member updates and the loads each.

Change: a ping that only reads the clock of a peer in another zone says so, and neither it nor its answer carries more than what the peer must be told of itself.

--- a/packages/core/src/kumquathold_core/gossip.py
+++ b/packages/core/src/kumquathold_core/gossip.py
@@ -77,6 +77,12 @@
     routes: tuple[RouteReport, ...] = ()
     """Sizes and durations of routes, likewise."""
 
+    is_clock_reading: bool = False
+    """Whether the sender only needs the clock of a peer in another zone.
+
+    Neither this message nor its response then carries updates, loads or routes.
+    """
+
 
 class Pong(msgspec.Struct, frozen=True, array_like=True, tag='pong'):
     """The response to a heartbeat."""
--- a/packages/node/src/kumquathold_node/membership.py
+++ b/packages/node/src/kumquathold_node/membership.py
@@ -205,6 +205,7 @@
         self.evacuations.record_peer_reading(ping.evacuations)
         self.loads.merge(ping.loads)
         self.loads.merge_routes(ping.routes)
+        peer = envelope.sender
         pong = gossip.Pong(
             number=ping.number,
             on_behalf_of=ping.on_behalf_of,
@@ -212,15 +213,20 @@
             clock=monotonic(),
             table_digest=self.table.digest,
             freshness=self.freshness.make_report(),
-            updates=(
-                *self._take_updates_for(envelope.sender),
-                *_make_refutation(self.table, ping.updates),
-            ),
+            updates=_list_corrections(self.table, peer),
             evacuations=self.evacuations.make_report(),
-            loads=self.loads.make_reports(self.view, envelope.sender),
-            routes=self.loads.make_route_reports(self.view, envelope.sender),
         )
-        self.transport.try_send(envelope.sender, pong)
+        if not ping.is_clock_reading:
+            pong = msgspec.structs.replace(
+                pong,
+                updates=(
+                    *self._take_updates_for(peer),
+                    *_make_refutation(self.table, ping.updates),
+                ),
+                loads=self.loads.make_reports(self.view, peer),
+                routes=self.loads.make_route_reports(self.view, peer),
+            )
+        self.transport.try_send(peer, pong)
         self.freshness.record_peer_version(envelope.sender, ping.freshness)
         self._compare_digests(envelope.sender, ping.table_digest)
 
@@ -323,8 +329,24 @@
 
     def on_read_clock(self, command: ReadClockCommand) -> None:
         """Request a reading of a peer's clock by a heartbeat."""
-        self.heartbeats.await_reading(command.peer, command.reply)
-        self._ping(command.peer, monotonic())
+        peer = command.peer
+        self.heartbeats.await_reading(peer, command.reply)
+        if not self.peers.is_far(peer):
+            self._ping(peer, monotonic())
+            return
+        # Many ingresses send to an owner of another zone now and then, and each
+        # needs a reading first; traffic between zones is billed.
+        ping = gossip.Ping(
+            number=self.heartbeats.add(peer, monotonic()),
+            on_behalf_of='',
+            origin_number=0,
+            table_digest=self.table.digest,
+            freshness=self.freshness.make_report(),
+            updates=_list_corrections(self.table, peer),
+            evacuations=self.evacuations.make_report(),
+            is_clock_reading=True,
+        )
+        self.transport.try_send(peer, ping)
 
     def on_watch_peers(self, command: WatchPeersCommand) -> None:
         """Replace the peers that get a heartbeat in each round."""
@@ -336,8 +358,7 @@
         What it must be told of itself goes with each message.
         """
         updates = self.table.take_updates()
-        correction = self.table.find_correction(peer)
-        return (*updates, correction) if correction else updates
+        return (*updates, *_list_corrections(self.table, peer))
 
     def _make_ping(
         self,
@@ -487,6 +508,14 @@
     return gossip.SyncRequest((own,), table.list_short_hashes())
 
 
+def _list_corrections(
+    table: member_table.MemberTable, peer: str
+) -> tuple[gossip.MemberUpdate, ...]:
+    """Return what a peer must be told of itself, if anything."""
+    correction = table.find_correction(peer)
+    return (correction,) if correction else ()
+
+
 def _make_refutation(
     table: member_table.MemberTable, heard: tuple[gossip.MemberUpdate, ...]
 ) -> tuple[gossip.MemberUpdate, ...]:
